--- /dev/null
+++ b/src/core/coordinator.cpp
@@ -0,0 +1,226 @@
+#include "core/coordinator.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+
+namespace steprail {
+
+using namespace quillgap;
+
+Coordinator::Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings)
+    : strand_(strand), log_(log), settings_(settings), module_(seed, std::move(settings)), timer_(strand) {}
+
+void Coordinator::attach(Front& front, Engines& engines) {
+  front_ = &front;
+  engines_ = &engines;
+}
+
+void Coordinator::start() { gather(Started{}); }
+
+// ---- What has happened ----
+
+void Coordinator::gather(Event event) {
+  gathered_.push_back(std::move(event));
+  if (std::exchange(turn_posted_, true)) return;
+  // Behind all that is ready now: the turn finds everything that one look at the sockets has brought.
+  boost::asio::post(strand_, [this] { turn(); });
+}
+
+void Coordinator::arrived(Query query) {
+  const auto [at, fresh] = open_.try_emplace(query.id);
+  STEPRAIL_INVARIANT(log_, fresh);
+  if (!fresh) return;
+  Open& open = at->second;
+  open.deadline = query.taken + query.limit;
+  open.query = std::move(query);
+  ++unanswered_;
+  const Query& q = open.query;
+  timeouts_.push({open.deadline + settings_.answer_slack / 2, Due::kRequest, q.id, 0});
+  Arrival arrival;
+  arrival.id = q.id;
+  arrival.cls = q.cls;
+  arrival.tenant = q.tenant;
+  arrival.left = q.limit;
+  arrival.estimate_ms = q.estimate_ms;
+  arrival.memory_mb = q.memory_mb;
+  arrival.group = q.group;
+  arrival.resent = q.resent;
+  gather(arrival);
+}
+
+void Coordinator::client_gone(RequestId id) { gather(ClientGone{id}); }
+
+void Coordinator::attempt_ended(AttemptEnd end) {
+  const auto at = open_.find(end.id);
+  if (at == open_.end()) return;
+  Open& open = at->second;
+  if (open.out != Out::kOut || end.attempt != open.attempts - 1) return;
+  open.pages = std::move(end.pages);
+  close(open, end.outcome, end.report);
+}
+
+void Coordinator::noted(Note note) { gather(note); }
+void Coordinator::probed(ProbeResult result) { gather(std::move(result)); }
+
+void Coordinator::listed(ListMode mode, std::vector<EngineEntry> entries, std::vector<EngineChange> changes) {
+  // The sockets hear of a drain at once, not with the batch: what is still queued must not leave late.
+  for (const EngineChange& change : changes) engines_->list(change);
+  gather(ListNews{mode, std::move(entries)});
+}
+
+void Coordinator::when_empty(std::function<void()> then) {
+  if (unanswered_ == 0) return then();
+  when_empty_ = std::move(then);
+}
+
+// An attempt's one end, on its way to the module.
+void Coordinator::close(Open& open, Outcome outcome, LoadReport report) {
+  open.out = Out::kClosing;
+  Closed closed;
+  closed.id = open.query.id;
+  closed.attempt = open.attempts - 1;
+  closed.engine = open.engine;
+  closed.outcome = outcome;
+  closed.delay = clock_.now() - open.sent;
+  closed.report = report;
+  gather(closed);
+}
+
+// ---- A turn ----
+
+void Coordinator::turn() {
+  turn_posted_ = false;
+  now_ = clock_.now();
+  expire();
+  batch_.swap(gathered_);
+  for (Event& event : batch_) decide(event);
+  batch_.clear();
+  // Carrying out may bring news (a send that cannot leave); that is for the next turn.
+  for (const Action& action : actions_) std::visit([this](const auto& a) { carry_out(a); }, action);
+  actions_.clear();
+  engines_->flush();
+  front_->flush();
+  arm();
+  if (unanswered_ == 0 && when_empty_) std::exchange(when_empty_, nullptr)();
+}
+
+void Coordinator::expire() {
+  while (!timeouts_.empty() && timeouts_.top().at <= now_) {
+    const Timeout due = timeouts_.top();
+    timeouts_.pop();
+    if (due.what == Due::kAlarm) {
+      gathered_.push_back(Alarm{due.id});
+      continue;
+    }
+    const auto at = open_.find(due.id);
+    if (at == open_.end()) continue;
+    Open& open = at->second;
+    if (due.what == Due::kAttempt) {
+      if (open.out != Out::kOut || due.attempt != open.attempts - 1) continue;
+      engines_->give_up(due.id, due.attempt);
+      close(open, Outcome::kExpired);
+    } else if (!open.answered && open.out == Out::kNone) {
+      // The module answers before a client's deadline; one that it forgot must still get its answer.
+      STEPRAIL_INVARIANT(log_, open.answered);
+      gathered_.push_back(ClientGone{due.id});
+      finish(open, {Verdict::kFailed, {}, {}});
+    }
+  }
+}
+
+void Coordinator::decide(Event& event) {
+  RequestId forgotten{};
+  bool may_forget = false;
+  if (auto* arrival = std::get_if<Arrival>(&event)) {
+    arrival->left = std::max(Micros{0}, open_.at(arrival->id).deadline - now_);
+  } else if (const auto* gone = std::get_if<ClientGone>(&event)) {
+    const auto at = open_.find(gone->id);
+    if (at == open_.end()) return;
+    if (!std::exchange(at->second.answered, true)) --unanswered_;
+    forgotten = gone->id, may_forget = true;
+  } else if (auto* closed = std::get_if<Closed>(&event)) {
+    Open& open = open_.at(closed->id);
+    open.out = Out::kNone;
+    if (closed->outcome == Outcome::kDelivered && !open.answered)
+      finish(open, {Verdict::kServed, {}, std::move(open.pages)});
+    open.pages.clear();
+    closed->ended = open.answered;
+    forgotten = closed->id, may_forget = true;
+  }
+  module_.handle(now_, event, actions_);
+  if (may_forget) forget(forgotten);
+}
+
+// Every request leaves by this one function; a second answer stops here.
+void Coordinator::finish(Open& open, Answer answer) {
+  if (open.answered) return;
+  open.answered = true;
+  --unanswered_;
+  front_->answer(open.query.ticket, std::move(answer));
+}
+
+// The module may still speak of a request in the batch that ended it; then the action finds nothing.
+void Coordinator::forget(RequestId id) {
+  const auto at = open_.find(id);
+  if (at != open_.end() && at->second.answered && at->second.out == Out::kNone) open_.erase(at);
+}
+
+void Coordinator::arm() {
+  if (timeouts_.empty() || timeouts_.top().at == armed_for_) return;
+  armed_for_ = timeouts_.top().at;
+  timer_.expires_after(std::max(Micros{0}, armed_for_ - clock_.now()));
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    armed_for_ = Micros{0};
+    if (!std::exchange(turn_posted_, true)) boost::asio::post(strand_, [this] { turn(); });
+  });
+}
+
+// ---- What the module wants done ----
+
+void Coordinator::carry_out(const Send& send) {
+  const auto at = open_.find(send.id);
+  if (at == open_.end()) return;
+  Open& open = at->second;
+  STEPRAIL_INVARIANT(log_, open.out == Out::kNone);
+  if (open.out != Out::kNone) return;
+  open.engine = send.engine;
+  open.sent = now_;
+  ++open.attempts;
+  // It ended in this very batch, by its client: nothing leaves.
+  if (open.answered) return close(open, Outcome::kUnused);
+  Micros patience = open.deadline - now_;
+  if (send.patience.count() > 0) patience = std::min(patience, send.patience);
+  open.out = Out::kOut;
+  timeouts_.push({now_ + patience, Due::kAttempt, send.id, open.attempts - 1});
+  engines_->send({open.query, open.attempts - 1, send.engine, patience});
+}
+
+void Coordinator::carry_out(const Cancel& cancel) {
+  const auto at = open_.find(cancel.id);
+  if (at == open_.end()) return;
+  Open& open = at->second;
+  if (open.out != Out::kOut || cancel.attempt != open.attempts - 1) return;
+  engines_->give_up(cancel.id, cancel.attempt);
+  close(open, Outcome::kRevoked);
+}
+
+void Coordinator::carry_out(const Refuse& refuse) {
+  const auto at = open_.find(refuse.id);
+  if (at == open_.end()) return;
+  finish(at->second, {Verdict::kRefused, settings_.retry_after ? refuse.wait : Micros{0}, {}});
+  forget(refuse.id);
+}
+
+void Coordinator::carry_out(const Fail& fail) {
+  const auto at = open_.find(fail.id);
+  if (at == open_.end()) return;
+  finish(at->second, {Verdict::kFailed, {}, {}});
+  forget(fail.id);
+}
+
+void Coordinator::carry_out(const Probe& probe) { engines_->probe(probe.engine); }
+void Coordinator::carry_out(const Timer& timer) { timeouts_.push({timer.due, Due::kAlarm, timer.label, 0}); }
+void Coordinator::carry_out(const quillgap::Log& text) { log_.line(text.text); }
+
+}  // namespace steprail
--- /dev/null
+++ b/src/core/coordinator.h
@@ -0,0 +1,101 @@
+// One coordinator: the table of open requests, the clock, the timers, the decision module and its batch.
+// Everything here runs on one strand.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <map>
+#include <queue>
+#include <unordered_map>
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "core/ports.h"
+
+namespace steprail {
+
+using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+class Coordinator {
+ public:
+  Coordinator(Strand strand, EventLog& log, std::uint64_t seed, quillgap::Settings settings);
+  void attach(Front& front, Engines& engines);
+  void start();
+
+  // What has happened. Each is gathered, and decided on in the next turn of the loop.
+  void arrived(Query query);
+  void client_gone(RequestId id);
+  void attempt_ended(AttemptEnd end);
+  void noted(quillgap::Note note);
+  void probed(quillgap::ProbeResult result);
+  void listed(quillgap::ListMode mode, std::vector<quillgap::EngineEntry> entries,
+              std::vector<EngineChange> changes);
+
+  bool knows(RequestId id) const { return open_.contains(id); }
+  // Calls back once, in the turn in which the last open request has got its answer; at once if none is open.
+  void when_empty(std::function<void()> then);
+  std::size_t unanswered() const { return unanswered_; }
+  Micros now() { return clock_.now(); }
+
+ private:
+  enum class Out { kNone, kOut, kClosing };  // kClosing: its end waits for the module's next batch
+  struct Open {
+    Query query;
+    Micros deadline{0};
+    bool answered{};
+    int attempts{};  // sent so far; the last of them may be out
+    Out out{Out::kNone};
+    int engine{};
+    Micros sent{0};
+    std::vector<std::string> pages;  // of an attempt that was delivered but not yet told
+  };
+  enum class Due { kAlarm, kAttempt, kRequest };
+  struct Timeout {
+    Micros at{0};
+    Due what{Due::kAlarm};
+    std::uint64_t id{};  // of the request; an alarm's label
+    int attempt{};
+    bool operator>(const Timeout& other) const { return at > other.at; }
+  };
+
+  void gather(quillgap::Event event);
+  void turn();
+  void expire();
+  void decide(quillgap::Event& event);
+  void close(Open& open, quillgap::Outcome outcome, quillgap::LoadReport report = {});
+  void finish(Open& open, Answer answer);
+  void forget(RequestId id);
+  void arm();
+
+  void carry_out(const quillgap::Send& send);
+  void carry_out(const quillgap::Cancel& cancel);
+  void carry_out(const quillgap::Refuse& refuse);
+  void carry_out(const quillgap::Fail& fail);
+  void carry_out(const quillgap::Probe& probe);
+  void carry_out(const quillgap::Timer& timer);
+  void carry_out(const quillgap::Log& text);
+  void carry_out(const quillgap::Terms&) {}      // engines choose memory themselves and heed no priority
+  void carry_out(const quillgap::Subscribe&) {}  // the directory is followed from the start
+  void carry_out(const quillgap::FetchList&) {}
+
+  Strand strand_;
+  EventLog& log_;
+  Clock clock_;
+  quillgap::Settings settings_;
+  quillgap::Gateway module_;
+  Front* front_{};
+  Engines* engines_{};
+  boost::asio::steady_timer timer_;
+  Micros armed_for_{0};
+  bool turn_posted_{false};
+  Micros now_{0};
+  std::size_t unanswered_{0};
+  std::unordered_map<RequestId, Open> open_;
+  std::priority_queue<Timeout, std::vector<Timeout>, std::greater<>> timeouts_;
+  std::vector<quillgap::Event> gathered_, batch_;
+  std::vector<quillgap::Action> actions_;
+  std::function<void()> when_empty_;
+};
+
+}  // namespace steprail
--- /dev/null
+++ b/src/core/ports.h
@@ -0,0 +1,87 @@
+// What the coordinator knows of the protocols around it: a front that takes queries and gives answers, and
+// engines that run them. Neither names a protocol, so that a second front can use the same decisions.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "quillgap/gateway.h"
+
+namespace steprail {
+
+using quillgap::Micros;
+using quillgap::RequestId;
+
+// Where an answer goes: a front's own numbers for a client's connection and the call on it.
+struct Ticket {
+  std::uint64_t session{};
+  std::int32_t call{};
+};
+
+struct Query {
+  RequestId id{};
+  std::string name;        // the id as the client wrote it; engines get it unchanged
+  std::string class_name;  // likewise
+  int cls{};
+  int tenant{-1};
+  double estimate_ms{};
+  double memory_mb{};
+  int group{-1};
+  bool resent{};
+  Micros taken{0};  // when its last byte was read, Unix time
+  Micros limit{0};  // how long the client waits from then on
+  std::string statement;
+  Ticket ticket;
+};
+
+enum class Verdict { kServed, kRefused, kFailed };
+
+struct Answer {
+  Verdict verdict{Verdict::kFailed};
+  Micros come_back{0};             // refused: when to try again; 0: no advice
+  std::vector<std::string> pages;  // served: the whole result, in order
+};
+
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void answer(const Ticket& ticket, Answer answer) = 0;
+  virtual void flush() = 0;  // writes out what the turn has produced
+};
+
+struct Dispatch {
+  const Query& query;
+  int attempt{};
+  int engine{};
+  Micros patience{0};  // how long the coordinator will wait
+};
+
+struct EngineChange {
+  int engine{};
+  std::string name;
+  std::string address;
+  quillgap::Standing standing{quillgap::Standing::kReady};
+  Micros came_up{0};
+};
+
+class Engines {
+ public:
+  virtual ~Engines() = default;
+  virtual void list(const EngineChange& change) = 0;
+  virtual void send(const Dispatch& dispatch) = 0;
+  virtual void give_up(RequestId id, int attempt) = 0;
+  virtual void probe(int engine) = 0;
+  virtual void flush() = 0;
+};
+
+// How an attempt ended, in the engines' words; the coordinator adds what the request's state says.
+struct AttemptEnd {
+  RequestId id{};
+  int attempt{};
+  quillgap::Outcome outcome{};
+  quillgap::LoadReport report;
+  std::vector<std::string> pages;  // delivered: all of them
+};
+
+}  // namespace steprail
--- /dev/null
+++ b/src/net/buffers.h
@@ -0,0 +1,101 @@
+// The two ends of a connection's bytes: what has come and is parsed in place, and what waits to be written.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace steprail {
+
+class InBuffer {
+ public:
+  std::string_view view() const { return {bytes_.data() + begin_, end_ - begin_}; }
+  void consume(std::size_t count) {
+    begin_ += count;
+    if (begin_ == end_) begin_ = end_ = 0;
+  }
+  // Room for the next read. What is parsed already goes first; the rest moves only when space runs out.
+  boost::asio::mutable_buffer room() {
+    constexpr std::size_t kLeast = 2048;
+    if (bytes_.size() - end_ < kLeast && begin_ > 0) {
+      std::copy(bytes_.begin() + static_cast<std::ptrdiff_t>(begin_),
+                bytes_.begin() + static_cast<std::ptrdiff_t>(end_), bytes_.begin());
+      end_ -= begin_;
+      begin_ = 0;
+    }
+    if (bytes_.size() - end_ < kLeast) bytes_.resize(std::max(2 * kLeast, 2 * bytes_.size()));
+    return boost::asio::buffer(bytes_.data() + end_, bytes_.size() - end_);
+  }
+  void filled(std::size_t count) { end_ += count; }
+
+ private:
+  std::vector<char> bytes_;
+  std::size_t begin_{0}, end_{0};
+};
+
+class OutQueue {
+ public:
+  // A tag (not 0) names a piece that may be taken back while none of it has left.
+  void push(std::string piece, std::uint64_t tag = 0) {
+    if (piece.empty()) return;
+    size_ += piece.size();
+    pieces_.push_back({std::move(piece), tag});
+  }
+  bool empty() const { return pieces_.empty(); }
+  std::size_t size() const { return size_; }
+
+  // What one gathered write takes.
+  const std::vector<boost::asio::const_buffer>& gather() {
+    constexpr std::size_t kMost = 64;
+    gathered_.clear();
+    for (std::size_t i = 0; i < pieces_.size() && i < kMost; ++i) {
+      gathered_.push_back(boost::asio::buffer(pieces_[i].bytes));
+    }
+    if (!gathered_.empty()) gathered_.front() += sent_;
+    return gathered_;
+  }
+
+  void sent(std::size_t count) {
+    size_ -= count;
+    count += sent_;
+    while (!pieces_.empty() && count >= pieces_.front().bytes.size()) {
+      count -= pieces_.front().bytes.size();
+      pieces_.pop_front();
+    }
+    sent_ = count;
+  }
+
+  // True if the piece is still here, in part at least: its peer cannot have seen it whole.
+  bool holds(std::uint64_t tag) const {
+    for (const Piece& piece : pieces_) {
+      if (piece.tag == tag) return true;
+    }
+    return false;
+  }
+
+  // Takes a piece back of which nothing has left yet.
+  bool take_back(std::uint64_t tag) {
+    for (auto at = pieces_.begin(); at != pieces_.end(); ++at) {
+      if (at->tag != tag || (at == pieces_.begin() && sent_ > 0)) continue;
+      size_ -= at->bytes.size();
+      pieces_.erase(at);
+      return true;
+    }
+    return false;
+  }
+
+ private:
+  struct Piece {
+    std::string bytes;
+    std::uint64_t tag{};
+  };
+  std::deque<Piece> pieces_;
+  std::vector<boost::asio::const_buffer> gathered_;
+  std::size_t sent_{0};  // of the first piece
+  std::size_t size_{0};
+};
+
+}  // namespace steprail
--- /dev/null
+++ b/src/net/directory.cpp
@@ -0,0 +1,164 @@
+#include "net/directory.h"
+
+#include <boost/asio/write.hpp>
+#include <set>
+
+#include "net/engine_line.h"
+
+namespace steprail {
+
+using boost::system::error_code;
+using nlohmann::json;
+using quillgap::ListMode;
+using quillgap::Standing;
+
+namespace {
+constexpr std::chrono::milliseconds kSilenceMost{3500};  // a line comes every second
+constexpr std::chrono::milliseconds kPause{200};         // between connections
+constexpr std::size_t kLongestLine = 4 << 20;
+
+const std::map<std::string, Standing> kStates = {
+    {"active", Standing::kReady}, {"leaving", Standing::kDraining}, {"left", Standing::kGone}};
+}  // namespace
+
+Directory::Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables,
+                     tcp::endpoint source)
+    : strand_(strand),
+      coordinator_(coordinator),
+      log_(log),
+      tables_(tables),
+      source_(source),
+      socket_(strand),
+      silence_(strand),
+      pause_(strand) {}
+
+void Directory::load(const json& known) {
+  for (const json& event : known.at("updates")) apply(event, last_ == 0);
+  last_ = std::max(last_, known.at("index").get<std::int64_t>());
+}
+
+void Directory::follow() {
+  ++life_;
+  state_ = {};
+  in_ = {};
+  socket_ = tcp::socket(strand_);
+  run();
+}
+
+#include <boost/asio/yield.hpp>
+
+void Directory::run(error_code error, std::size_t count) {
+  if (error) return again(error.message());
+  const auto next = [this, life = life_](error_code e, std::size_t n = 0) {
+    if (life == life_) run(e, n);
+  };
+  // A cut-off machine says nothing at all, not even that it is cut off.
+  silence_.expires_after(kSilenceMost);
+  silence_.async_wait([this, life = life_](error_code e) {
+    if (!e && life == life_) again("silent");
+  });
+  reenter(state_) {
+    yield socket_.async_connect(source_, [next](error_code e) { next(e); });
+    hello_ = "follow " + std::to_string(last_) + "\n";
+    yield boost::asio::async_write(socket_, boost::asio::buffer(hello_), next);
+    for (;;) {
+      yield socket_.async_read_some(in_.room(), next);
+      in_.filled(count);
+      if (!take_lines()) return;
+    }
+  }
+}
+
+#include <boost/asio/unyield.hpp>
+
+void Directory::again(const std::string& why) {
+  if (!std::exchange(failing_, true))
+    log_.line("directory lost, followed anew from " + std::to_string(last_) + ": " + why);
+  ++life_;
+  error_code ignored;
+  socket_.close(ignored);
+  silence_.cancel();
+  pause_.expires_after(kPause);
+  pause_.async_wait([this](error_code error) {
+    if (!error) follow();
+  });
+}
+
+bool Directory::take_lines() {
+  for (;;) {
+    const std::string_view bytes = in_.view();
+    const std::size_t end = bytes.find('\n');
+    if (end == std::string_view::npos) {
+      if (bytes.size() <= kLongestLine) return true;
+      again("line without end");
+      return false;
+    }
+    try {
+      take(bytes.substr(0, end));
+    } catch (const std::exception& fault) {
+      failing_ = false;  // each bad line is worth its own line in the log
+      again(std::string("bad line: ") + fault.what());
+      return false;
+    }
+    in_.consume(end + 1);
+  }
+}
+
+void Directory::take(std::string_view line) {
+  if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+  if (line.empty()) return;
+  const json message = json::parse(line);
+  if (message.is_number_integer()) {
+    const auto told = message.get<std::int64_t>();
+    if (told > last_) throw std::runtime_error("event " + std::to_string(last_ + 1) + " is missing");
+  } else {
+    const auto index = message.at("index").get<std::int64_t>();
+    if (index <= last_) return;
+    if (index > last_ + 1) throw std::runtime_error("event " + std::to_string(last_ + 1) + " is missing");
+    apply(message, false);
+  }
+  if (std::exchange(failing_, false)) log_.line("directory followed again, at " + std::to_string(last_));
+}
+
+Directory::Row Directory::read_row(const json& row) {
+  Row read;
+  read.entry.engine = tables_.engines.add(row.at("name").get<std::string>());
+  read.entry.zone = tables_.zones.find(row.at("zone"), "zone");
+  read.entry.kind = tables_.kinds.find(row.at("type"), "type");
+  read.entry.cell = optional_field(row, "group", 0);
+  read.entry.standing = choose(row.at("status").get<std::string>(), kStates, "status");
+  read.entry.weight = optional_field(row, "weight", 1.0);
+  read.entry.came_up = Micros{optional_field<std::int64_t>(row, "since_ms", 0) * 1000};
+  read.change = {read.entry.engine, row.at("name"), row.at("address"), read.entry.standing,
+                 read.entry.came_up};
+  return read;
+}
+
+// All of an event is read before any of it is used: a bad line changes nothing.
+void Directory::apply(const json& event, bool first) {
+  const json& news = event.at("endpoints");
+  const bool whole = optional_field(news, "snapshot", false) || first;
+  std::vector<quillgap::EngineEntry> entries;
+  std::vector<EngineChange> changes;
+  std::set<int> named;
+  for (const json& row : news.at("endpoints")) {
+    Row read = read_row(row);
+    named.insert(read.entry.engine);
+    log_.line("engine " + std::to_string(read.entry.engine) + " is " + read.change.name + " at " +
+              read.change.address + ", " + row.at("status").get<std::string>());
+    entries.push_back(read.entry);
+    changes.push_back(std::move(read.change));
+  }
+  // What a whole list does not hold is gone.
+  for (int engine = 0; whole && engine < tables_.engines.size(); ++engine) {
+    if (!named.contains(engine))
+      changes.push_back({engine, tables_.engines.name(engine), {}, Standing::kGone, {}});
+  }
+  last_ = event.at("index").get<std::int64_t>();
+  coordinator_.listed(first   ? ListMode::kSaved
+                      : whole ? ListMode::kFull
+                              : ListMode::kIncremental,
+                      std::move(entries), std::move(changes));
+}
+
+}  // namespace steprail
--- /dev/null
+++ b/src/net/directory.h
@@ -0,0 +1,51 @@
+// The list of engines: its events as JSON, and the stream that brings them.
+#pragma once
+
+#include <boost/asio/coroutine.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <nlohmann/json.hpp>
+
+#include "core/coordinator.h"
+#include "net/buffers.h"
+#include "settings_json.h"
+
+namespace steprail {
+
+using boost::asio::ip::tcp;
+
+class Directory {
+ public:
+  Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables, tcp::endpoint source);
+
+  // The events of the start, as the configuration holds them. Throws on what cannot be read.
+  void load(const nlohmann::json& known);
+  void follow();
+
+ private:
+  struct Row {
+    quillgap::EngineEntry entry;
+    EngineChange change;
+  };
+  void run(boost::system::error_code error = {}, std::size_t count = 0);
+  void again(const std::string& why);
+  bool take_lines();
+  void take(std::string_view line);
+  void apply(const nlohmann::json& event, bool first);
+  Row read_row(const nlohmann::json& row);
+
+  Strand strand_;
+  Coordinator& coordinator_;
+  EventLog& log_;
+  Tables& tables_;
+  tcp::endpoint source_;
+  tcp::socket socket_;
+  boost::asio::steady_timer silence_, pause_;
+  boost::asio::coroutine state_;
+  std::uint64_t life_{0};  // which connection a handler belongs to
+  InBuffer in_;
+  std::string hello_;
+  std::int64_t last_{0};
+  bool failing_{false};
+};
+
+}  // namespace steprail
--- /dev/null
+++ b/src/net/engine_pool.cpp
@@ -0,0 +1,459 @@
+#include "net/engine_pool.h"
+
+#include <algorithm>
+#include <boost/asio/coroutine.hpp>
+
+#include "net/buffers.h"
+#include "net/engine_line.h"
+
+namespace steprail {
+
+using boost::system::error_code;
+using quillgap::Outcome;
+using quillgap::Standing;
+
+namespace {
+constexpr Micros kSweep{250'000};
+constexpr Micros kProbePatience{1'000'000};
+constexpr double kIdlePart = 0.7;  // of the idle time, after which a connection is not used again
+constexpr std::int64_t kPagesMost = 1024;
+constexpr std::size_t kResultMost = 1 << 20;
+constexpr std::size_t kUnsentMost = 4 << 20;  // commands that an engine does not read
+}  // namespace
+
+std::optional<tcp::endpoint> parse_address(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  error_code error;
+  const auto host = boost::asio::ip::make_address(text.substr(0, colon), error);
+  const auto port = parse_count(std::string_view(text).substr(colon + 1));
+  if (error || !port || *port > 65535) return std::nullopt;
+  return tcp::endpoint(host, static_cast<std::uint16_t>(*port));
+}
+
+#include <boost/asio/yield.hpp>
+
+// One connection. An attempt on it is `live` until its end is known or it is given up; after that its id
+// stays behind as `abandoned`, so that an answer that was under way counts for nothing.
+class EnginePool::Line : public std::enable_shared_from_this<Line>, boost::asio::coroutine {
+ public:
+  Line(EnginePool& pool, int engine, const tcp::endpoint& to)
+      : pool_(pool), engine_(engine), to_(to), socket_(pool.strand_), limit_(pool.strand_) {
+    opened_ = used_ = pool_.coordinator_.now();
+  }
+
+  void run(error_code error = {}, std::size_t count = 0) {
+    if (closed_) return;
+    if (error) return close(error == boost::asio::error::eof ? "closed by the engine" : error.message());
+    const auto next = [self = shared_from_this()](error_code e, std::size_t n = 0) { self->run(e, n); };
+    reenter(this) {
+      limit_.expires_after(pool_.limits_.connect_timeout);
+      limit_.async_wait([self = shared_from_this()](error_code e) {
+        if (!e && !self->up_) self->close("no connection in time");
+      });
+      yield socket_.async_connect(to_, [next](error_code e) { next(e); });
+      up_ = true;
+      limit_.cancel();
+      set_options();
+      write();
+      for (;;) {
+        yield socket_.async_read_some(in_.room(), next);
+        in_.filled(count);
+        if (!take_answers()) return close("unreadable answer");
+      }
+    }
+  }
+
+  bool can_take(std::optional<RequestId> id) const {
+    if (closed_ || live_ >= pool_.limits_.multiplex) return false;
+    if (idle_for() > kIdlePart) return false;
+    return !id || !slots_.contains(*id);
+  }
+  bool idle() const { return live_ == 0 && probes_.empty(); }
+  std::size_t live() const { return live_; }
+  Micros opened() const { return opened_; }
+
+  void serve(const Dispatch& dispatch) {
+    Slot slot;
+    slot.name = dispatch.query.name;
+    slot.attempt = dispatch.attempt;
+    slot.tag = ++last_tag_;
+    slots_.emplace(dispatch.query.id, std::move(slot));
+    ++live_;
+    out_.push(serve_command(dispatch), last_tag_);
+    mark();
+  }
+
+  void give_up(RequestId id, int attempt) {
+    const auto at = slots_.find(id);
+    if (at == slots_.end() || at->second.abandoned || at->second.attempt != attempt) return;
+    Slot& slot = at->second;
+    --live_;
+    used_ = pool_.coordinator_.now();
+    if (out_.take_back(slot.tag)) {
+      slots_.erase(at);
+      return;
+    }
+    command(slot.pages.empty() ? "cancel" : "release", slot);
+    abandon(slot);
+  }
+
+  void probe(std::uint64_t number) {
+    probes_.emplace(number, pool_.coordinator_.now());
+    out_.push((pool_.limits_.reports ? "gauges " : "health ") + probe_name(number) + "\r\n");
+    mark();
+  }
+
+  // The engine takes nothing new: what has not begun to leave stays here.
+  void take_back_unsent() {
+    std::vector<std::pair<RequestId, int>> unsent;
+    for (const auto& [id, slot] : slots_) {
+      if (!slot.abandoned && out_.take_back(slot.tag)) unsent.emplace_back(id, slot.attempt);
+    }
+    for (const auto& [id, attempt] : unsent) {
+      slots_.erase(id);
+      --live_;
+      pool_.never_written(id, attempt);
+    }
+  }
+
+  void write() {
+    dirty_ = false;
+    while (!closed_ && up_ && !out_.empty() && !waiting_) {
+      error_code error;
+      const std::size_t count = socket_.write_some(out_.gather(), error);
+      out_.sent(count);
+      if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
+        if (out_.size() > kUnsentMost) return close("commands are left unread");
+        waiting_ = true;
+        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code e) {
+          self->waiting_ = false;
+          if (!e) self->write();
+        });
+      } else if (error) {
+        return close(error.message());
+      }
+    }
+  }
+
+  void sweep(Micros now) {
+    std::vector<std::uint64_t> late;
+    for (const auto& [number, sent] : probes_) {
+      if (now - sent > kProbePatience) late.push_back(number);
+    }
+    for (const std::uint64_t number : late) probe_ended(number, false, {});
+    // No request lives so long that its id could be sent again.
+    std::erase_if(slots_, [&](const auto& entry) {
+      return entry.second.abandoned && now - entry.second.since > pool_.limits_.longest;
+    });
+    if (idle() && up_ && idle_for() > kIdlePart) close({});
+  }
+
+  // With a reason: worth a line in the log. Attempts on it end here.
+  void close(const std::string& reason) {
+    if (std::exchange(closed_, true)) return;
+    const auto self = shared_from_this();
+    if (!reason.empty() && (live_ > 0 || !up_))
+      pool_.log_.line("engine " + std::to_string(engine_) + ": connection lost with " +
+                      std::to_string(live_) + " attempts: " + reason);
+    error_code ignored;
+    socket_.close(ignored);
+    limit_.cancel();
+    pool_.drop(engine_, this);
+    const auto slots = std::exchange(slots_, {});
+    for (const auto& [id, slot] : slots) {
+      if (slot.abandoned) continue;
+      // What the engine cannot have read whole never ran; of the rest nobody knows.
+      const bool unwritten = !up_ || out_.holds(slot.tag);
+      end(id, slot, unwritten ? Outcome::kDialFailed : Outcome::kDropped, {}, {});
+    }
+    const auto probes = std::exchange(probes_, {});
+    for (const auto& [number, sent] : probes)
+      pool_.coordinator_.probed({engine_, false, pool_.coordinator_.now() - sent, {}});
+  }
+
+ private:
+  struct Slot {
+    std::string name;
+    int attempt{};
+    std::uint64_t tag{};
+    bool abandoned{};
+    Micros since{0};                 // abandoned
+    std::vector<std::string> pages;  // once it was acknowledged: all of them, those missing empty
+    std::vector<bool> have;
+    std::size_t missing{};
+    std::size_t bytes{};
+    quillgap::LoadReport report;
+  };
+
+  // A connection that carries nothing, as a part of the time after which engines close it.
+  double idle_for() const {
+    if (!idle() || pool_.limits_.idle.count() <= 0) return 0;
+    return static_cast<double>((pool_.coordinator_.now() - used_).count()) /
+           static_cast<double>(pool_.limits_.idle.count());
+  }
+
+  static std::string probe_name(std::uint64_t number) { return "probe" + std::to_string(number); }
+  void command(const char* verb, const Slot& slot) {
+    out_.push(std::string(verb) + ' ' + slot.name + "\r\n");
+    mark();
+  }
+  void mark() {
+    if (std::exchange(dirty_, true)) return;
+    pool_.dirty_.push_back(shared_from_this());
+  }
+  void set_options() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+  }
+
+  void abandon(Slot& slot) {
+    slot.abandoned = true;
+    slot.since = pool_.coordinator_.now();
+    slot.pages.clear();
+    slot.have.clear();
+  }
+
+  void end(RequestId id, const Slot& slot, Outcome outcome, const quillgap::LoadReport& report,
+           std::vector<std::string> pages) {
+    pool_.where_.erase(id);
+    pool_.coordinator_.attempt_ended({id, slot.attempt, outcome, report, std::move(pages)});
+  }
+
+  // The attempt's end in the engine's own words.
+  void finished(std::unordered_map<RequestId, Slot>::iterator at, Outcome outcome,
+                const quillgap::LoadReport& report) {
+    const RequestId id = at->first;
+    Slot slot = std::move(at->second);
+    slots_.erase(at);
+    if (slot.abandoned) return;
+    --live_;
+    used_ = pool_.coordinator_.now();
+    end(id, slot, outcome, report,
+        outcome == Outcome::kDelivered ? std::move(slot.pages) : std::vector<std::string>{});
+  }
+
+  void probe_ended(std::uint64_t number, bool delivered, const quillgap::LoadReport& report) {
+    const auto at = probes_.find(number);
+    if (at == probes_.end()) return;
+    const Micros delay = pool_.coordinator_.now() - at->second;
+    probes_.erase(at);
+    used_ = pool_.coordinator_.now();
+    pool_.coordinator_.probed({engine_, delivered, delay, report});
+  }
+
+  bool take_answers() {
+    EngineAnswer answer;
+    std::size_t used = 0;
+    for (;;) {
+      const Parsed parsed = parse_answer(in_.view(), answer, used);
+      if (parsed == Parsed::kMore) return true;
+      if (parsed == Parsed::kBad || !take(answer)) return false;
+      in_.consume(used);
+    }
+  }
+
+  bool take(const EngineAnswer& answer) {
+    if (answer.word == Word::kReady || answer.word == Word::kAiling) {
+      constexpr std::string_view kName = "probe";
+      const auto number = answer.id.substr(0, kName.size()) == kName
+                              ? parse_count(answer.id.substr(kName.size()))
+                              : std::nullopt;
+      if (!number) return false;
+      probe_ended(static_cast<std::uint64_t>(*number), answer.word == Word::kReady, answer.report);
+      return true;
+    }
+    const auto id = parse_id(answer.id);
+    if (!id) return false;
+    const auto at = slots_.find(*id);
+    if (at == slots_.end()) return true;  // long over
+    Slot& slot = at->second;
+    switch (answer.word) {
+      case Word::kAck:
+        return acknowledged(at, answer);
+      case Word::kAgain:
+      case Word::kStale:
+        finished(at, Outcome::kShed, answer.report);
+        return true;
+      case Word::kEio:
+        finished(at, Outcome::kAppError, answer.report);
+        return true;
+      case Word::kEvent:
+        if (!slot.abandoned) note(*id, slot, answer);
+        return true;
+      case Word::kBlock:
+        return block(at, answer);
+      default:
+        return false;
+    }
+  }
+
+  void note(RequestId id, const Slot& slot, const EngineAnswer& answer) {
+    using quillgap::Topic;
+    quillgap::Note note{id, slot.attempt, engine_, Topic::kProgress, answer.reading};
+    if (answer.why == "overflow") {
+      note.topic = Topic::kSpills;
+    } else if (answer.why == "queued") {
+      note.topic = Topic::kWaits;
+    } else if (answer.why != "pct") {
+      return;
+    }
+    pool_.coordinator_.noted(note);
+  }
+
+  bool acknowledged(std::unordered_map<RequestId, Slot>::iterator at, const EngineAnswer& answer) {
+    Slot& slot = at->second;
+    const std::int64_t count = std::max<std::int64_t>(1, answer.count);
+    if (slot.abandoned) {
+      slots_.erase(at);
+      return true;
+    }
+    if (!slot.pages.empty() || count > kPagesMost) return false;
+    slot.pages.resize(static_cast<std::size_t>(count));
+    slot.have.resize(slot.pages.size());
+    slot.pages[0] = answer.body;
+    slot.have[0] = true;
+    slot.bytes = answer.body.size();
+    slot.missing = slot.pages.size() - 1;
+    slot.report = answer.report;
+    if (slot.missing == 0) {
+      finished(at, Outcome::kDelivered, slot.report);
+      return true;
+    }
+    std::string reads;
+    for (std::int64_t page = 1; page < count; ++page)
+      reads += "read " + slot.name + ' ' + std::to_string(page) + "\r\n";
+    out_.push(std::move(reads));
+    mark();
+    return true;
+  }
+
+  bool block(std::unordered_map<RequestId, Slot>::iterator at, const EngineAnswer& answer) {
+    Slot& slot = at->second;
+    if (slot.abandoned) return true;
+    const auto page = static_cast<std::size_t>(answer.position);
+    if (answer.position < 1 || page >= slot.pages.size()) return false;
+    if (slot.have[page]) return true;
+    slot.pages[page] = answer.body;
+    slot.have[page] = true;
+    slot.bytes += answer.body.size();
+    if (slot.bytes > kResultMost) return false;
+    if (--slot.missing == 0) finished(at, Outcome::kDelivered, slot.report);
+    return true;
+  }
+
+  EnginePool& pool_;
+  int engine_;
+  tcp::endpoint to_;
+  tcp::socket socket_;
+  boost::asio::steady_timer limit_;
+  InBuffer in_;
+  OutQueue out_;
+  std::unordered_map<RequestId, Slot> slots_;
+  std::unordered_map<std::uint64_t, Micros> probes_;
+  std::size_t live_{0};
+  std::uint64_t last_tag_{0};
+  Micros opened_{0}, used_{0};
+  bool up_{false}, closed_{false}, dirty_{false}, waiting_{false};
+};
+
+#include <boost/asio/unyield.hpp>
+
+EnginePool::EnginePool(Strand strand, Coordinator& coordinator, EventLog& log, Limits limits)
+    : strand_(strand), coordinator_(coordinator), log_(log), limits_(limits), sweep_(strand) {
+  sweep();
+}
+
+EnginePool::~EnginePool() = default;
+
+void EnginePool::list(const EngineChange& change) {
+  const auto index = static_cast<std::size_t>(change.engine);
+  if (index >= engines_.size()) engines_.resize(index + 1);
+  Engine& engine = engines_[index];
+  engine.name = change.name;
+  engine.standing = change.standing;
+  // Connections of a process that has ended since stay open and silent if its machine went with it.
+  const bool moved = engine.address != change.address;
+  const auto lines = engine.lines;
+  for (const auto& line : lines) {
+    if (change.standing != Standing::kReady) line->take_back_unsent();
+    const bool dead = moved || (change.came_up > engine.came_up && line->opened() < change.came_up);
+    if (dead) line->close("the engine has started anew");
+  }
+  if (moved) {
+    engine.address = change.address;
+    engine.endpoint = parse_address(change.address);
+    if (!engine.endpoint) log_.line("engine " + engine.name + " has no usable address: " + engine.address);
+  }
+  engine.came_up = change.came_up;
+}
+
+std::shared_ptr<EnginePool::Line> EnginePool::pick(int index, std::optional<RequestId> id) {
+  if (index < 0 || static_cast<std::size_t>(index) >= engines_.size()) return nullptr;
+  Engine& engine = engines_[static_cast<std::size_t>(index)];
+  if (!engine.endpoint) return nullptr;
+  std::shared_ptr<Line> best;
+  for (const auto& line : engine.lines) {
+    if (line->can_take(id) && (!best || line->live() > best->live())) best = line;
+  }
+  if (best || engine.lines.size() >= limits_.per_engine || connections_ >= limits_.connections) return best;
+  ++connections_;
+  best = std::make_shared<Line>(*this, index, *engine.endpoint);
+  engine.lines.push_back(best);
+  best->run();
+  return best;
+}
+
+void EnginePool::send(const Dispatch& dispatch) {
+  const auto index = static_cast<std::size_t>(dispatch.engine);
+  const bool open = index < engines_.size() && engines_[index].standing == Standing::kReady;
+  const auto line = open ? pick(dispatch.engine, dispatch.query.id) : nullptr;
+  if (!line) return never_written(dispatch.query.id, dispatch.attempt);
+  where_[dispatch.query.id] = line;
+  line->serve(dispatch);
+}
+
+void EnginePool::never_written(RequestId id, int attempt) {
+  where_.erase(id);
+  coordinator_.attempt_ended({id, attempt, Outcome::kDialFailed, {}, {}});
+}
+
+void EnginePool::give_up(RequestId id, int attempt) {
+  const auto at = where_.find(id);
+  if (at == where_.end()) return;
+  const auto line = std::move(at->second);
+  where_.erase(at);
+  line->give_up(id, attempt);
+}
+
+void EnginePool::probe(int engine) {
+  const auto line = pick(engine, std::nullopt);
+  if (!line) return coordinator_.probed({engine, false, Micros{0}, {}});
+  line->probe(++last_probe_);
+}
+
+void EnginePool::flush() {
+  const auto dirty = std::exchange(dirty_, {});
+  for (const auto& line : dirty) line->write();
+}
+
+void EnginePool::drop(int engine, const Line* line) {
+  connections_ -= std::erase_if(engines_[static_cast<std::size_t>(engine)].lines,
+                                [line](const auto& held) { return held.get() == line; });
+}
+
+void EnginePool::sweep() {
+  sweep_.expires_after(kSweep);
+  sweep_.async_wait([this](error_code error) {
+    if (error) return;
+    const Micros now = coordinator_.now();
+    for (Engine& engine : engines_) {
+      const auto lines = engine.lines;
+      for (const auto& line : lines) line->sweep(now);
+    }
+    sweep();
+  });
+}
+
+}  // namespace steprail
--- /dev/null
+++ b/src/net/engine_pool.h
@@ -0,0 +1,68 @@
+// Connections to the engines, the attempts on them, and the pages of their results.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/coordinator.h"
+
+namespace steprail {
+
+using boost::asio::ip::tcp;
+
+// An address as it stands in the configuration and in lists: numbers only, there is no name service.
+std::optional<tcp::endpoint> parse_address(const std::string& text);
+
+class EnginePool : public Engines {
+ public:
+  struct Limits {
+    std::size_t multiplex{1};  // attempts on a connection at a time
+    Micros connect_timeout{0};
+    Micros idle{0};             // engines close a connection that has carried nothing for so long
+    Micros longest{0};          // that any request lives
+    std::size_t per_engine{};   // connections to one engine at a time ...
+    std::size_t connections{};  // ... and to all of them
+    bool reports{};             // probes ask for the load report
+  };
+
+  EnginePool(Strand strand, Coordinator& coordinator, EventLog& log, Limits limits);
+  ~EnginePool() override;
+
+  void list(const EngineChange& change) override;
+  void send(const Dispatch& dispatch) override;
+  void give_up(RequestId id, int attempt) override;
+  void probe(int engine) override;
+  void flush() override;
+
+ private:
+  class Line;
+  struct Engine {
+    std::string name, address;
+    std::optional<tcp::endpoint> endpoint;
+    quillgap::Standing standing{quillgap::Standing::kGone};
+    Micros came_up{0};
+    std::vector<std::shared_ptr<Line>> lines;
+  };
+
+  std::shared_ptr<Line> pick(int engine, std::optional<RequestId> id);
+  void drop(int engine, const Line* line);
+  void never_written(RequestId id, int attempt);
+  void sweep();
+
+  Strand strand_;
+  Coordinator& coordinator_;
+  EventLog& log_;
+  Limits limits_;
+  boost::asio::steady_timer sweep_;
+  std::uint64_t last_probe_{0};
+  std::vector<Engine> engines_;
+  std::size_t connections_{0};
+  std::unordered_map<RequestId, std::shared_ptr<Line>> where_;  // the line of a request's attempt that is out
+  std::vector<std::shared_ptr<Line>> dirty_;
+};
+
+}  // namespace steprail
--- /dev/null
+++ b/src/net/front.cpp
@@ -0,0 +1,285 @@
+#include "net/front.h"
+
+#include <boost/asio/coroutine.hpp>
+#include <boost/asio/post.hpp>
+
+#include "net/buffers.h"
+#include "net/engine_line.h"
+#include "net/statement.h"
+#include "net/thrift.h"
+
+namespace steprail {
+
+using boost::system::error_code;
+
+namespace {
+constexpr std::int64_t kLongestFrame = 1 << 20;
+constexpr std::size_t kUnreadMost = 4 << 20;  // answers that a client leaves unread, before it is cut off
+constexpr std::chrono::milliseconds kAcceptPause{50};
+}  // namespace
+
+#include <boost/asio/yield.hpp>
+
+class ThriftFront::Session : public std::enable_shared_from_this<Session>, boost::asio::coroutine {
+ public:
+  Session(ThriftFront& front, tcp::socket socket, std::uint64_t number)
+      : front_(front), socket_(std::move(socket)), number_(number) {}
+
+  void read(error_code error = {}, std::size_t count = 0) {
+    if (closed_) return;
+    if (error) return close(nullptr);
+    reenter(this) {
+      for (;;) {
+        yield socket_.async_read_some(
+            in_.room(), [self = shared_from_this()](error_code e, std::size_t n) { self->read(e, n); });
+        in_.filled(count);
+        if (!take_frames()) return;
+      }
+    }
+  }
+
+  void push(std::string piece) { out_.push(std::move(piece)); }
+  void done(std::int32_t call) { open_.erase(call); }
+  bool quiet() const { return out_.empty(); }
+
+  void mark() {
+    if (std::exchange(dirty_, true)) return;
+    front_.dirty_.push_back(shared_from_this());
+  }
+
+  void write() {
+    dirty_ = false;
+    while (!closed_ && !out_.empty() && !waiting_) {
+      error_code error;
+      const std::size_t count = socket_.write_some(out_.gather(), error);
+      out_.sent(count);
+      if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
+        if (out_.size() > kUnreadMost) return close("leaves its answers unread");
+        waiting_ = true;
+        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code e) {
+          self->waiting_ = false;
+          if (!e) self->write();
+        });
+      } else if (error) {
+        return close(nullptr);
+      }
+    }
+  }
+
+  // With a reason: the connection is ended for what its client did.
+  void close(const char* reason) {
+    if (std::exchange(closed_, true)) return;
+    if (reason != nullptr) front_.log_.line("client connection closed: " + std::string(reason));
+    error_code ignored;
+    socket_.close(ignored);
+    for (const auto& [call, id] : open_) front_.coordinator_.client_gone(id);
+    open_.clear();
+    front_.ended(number_);
+  }
+
+ private:
+  bool take_frames() {
+    for (;;) {
+      const std::string_view bytes = in_.view();
+      if (bytes.size() < thrift::kFrameHead) return true;
+      const std::int64_t length = thrift::frame_length(bytes);
+      if (length < 0 || length > kLongestFrame) return close("frame of a length that none may have"), false;
+      const auto whole = thrift::kFrameHead + static_cast<std::size_t>(length);
+      if (bytes.size() < whole) return true;
+      if (!take(bytes.substr(thrift::kFrameHead, static_cast<std::size_t>(length))))
+        return close("frame that cannot be read"), false;
+      in_.consume(whole);
+    }
+  }
+
+  // One message; false if it is none.
+  bool take(std::string_view frame) {
+    thrift::Reader reader(frame);
+    thrift::Message message;
+    if (!thrift::read_head(reader, message)) return false;
+    const bool call = message.kind == thrift::Kind::kCall;
+    if (!call && message.kind != thrift::Kind::kOneway) return false;
+    if (message.method == "execute") {
+      thrift::Fields fields;
+      std::string_view body;
+      if (!thrift::read_execute(reader, fields, body)) return false;
+      execute(message.call, fields, body);
+    } else if (message.method == "interrupt") {
+      std::int32_t which = 0;
+      if (!thrift::read_interrupt(reader, which)) return false;
+      interrupt(which);
+    } else if (message.method == "check") {
+      push(thrift::served_head(message.call, "check", 0));
+      push(thrift::served_tail(front_.ready_));
+      mark();
+    } else if (call) {
+      push(thrift::application_exception(message.call, message.method, thrift::Fault::kUnknownMethod,
+                                         "unknown method"));
+      mark();
+    }
+    return true;
+  }
+
+  void execute(std::int32_t call, const thrift::Fields& fields, std::string_view body) {
+    Query query;
+    const char* fault = read_query(call, fields, query);
+    if (fault != nullptr) {
+      push(thrift::thrown(call, 2, {{"reason", fault}}));
+      return mark();
+    }
+    if (front_.refusing_ || open_.size() >= front_.limits_.calls) {
+      push(thrift::thrown(call, 1, {}));
+      return mark();
+    }
+    query.statement = body;
+    query.group = table_group(body);
+    open_[call] = query.id;
+    front_.coordinator_.arrived(std::move(query));
+  }
+
+  // Null if the query can be used, else what is wrong with it.
+  const char* read_query(std::int32_t call, const thrift::Fields& fields, Query& query) {
+    std::optional<RequestId> id;
+    std::optional<std::int64_t> limit;
+    query.cls = -1;
+    for (const auto& [name, value] : fields) {
+      if (name == "txn") {
+        id = parse_id(value);
+        query.name = value;
+      } else if (name == "verb") {
+        query.cls = front_.tables_.classes.index(value);
+        query.class_name = value;
+      } else if (name == "limit") {
+        limit = parse_count(value);
+      } else if (name == "team") {
+        query.tenant = front_.tables_.tenants.index(value);
+      } else if (name == "second") {
+        query.resent = value == "1";
+      } else if (name == "cpu") {
+        query.estimate_ms = parse_number(value).value_or(0);
+      } else if (name == "mem") {
+        query.memory_mb = parse_number(value).value_or(0);
+      }
+    }
+    if (!id) return "txn";
+    if (query.cls < 0) return "verb";
+    if (!limit || *limit == 0) return "limit";
+    if (open_.contains(call)) return "call number in use";
+    if (front_.coordinator_.knows(*id)) return "txn in use";
+    query.id = *id;
+    // Nobody waits longer than the settings say; a wild figure must not run over either.
+    const Micros most = front_.settings_.classes[static_cast<std::size_t>(query.cls)].hard_limit;
+    query.limit = *limit > most.count() / 1000 ? most : Micros{*limit * 1000};
+    query.taken = front_.coordinator_.now();
+    query.ticket = {number_, call};
+    return nullptr;
+  }
+
+  void interrupt(std::int32_t call) {
+    const auto at = open_.find(call);
+    if (at == open_.end()) return;  // its answer has crossed it
+    const RequestId id = at->second;
+    open_.erase(at);
+    front_.coordinator_.client_gone(id);
+  }
+
+  ThriftFront& front_;
+  tcp::socket socket_;
+  std::uint64_t number_;
+  InBuffer in_;
+  OutQueue out_;
+  std::unordered_map<std::int32_t, RequestId> open_;
+  bool dirty_{false}, waiting_{false}, closed_{false};
+};
+
+#include <boost/asio/unyield.hpp>
+
+ThriftFront::ThriftFront(Strand strand, Coordinator& coordinator, EventLog& log,
+                         const quillgap::Settings& settings, const Tables& tables, Limits limits)
+    : strand_(strand),
+      coordinator_(coordinator),
+      log_(log),
+      settings_(settings),
+      tables_(tables),
+      limits_(limits),
+      acceptor_(strand),
+      pause_(strand) {}
+
+ThriftFront::~ThriftFront() = default;
+
+tcp::endpoint ThriftFront::listen(const tcp::endpoint& at) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen();
+  accept();
+  return acceptor_.local_endpoint();
+}
+
+// Over the limit, clients wait in the kernel's line until a connection ends.
+void ThriftFront::accept() {
+  if (accepting_ || sessions_.size() >= limits_.sessions) return;
+  accepting_ = true;
+  acceptor_.async_accept(strand_, [this](error_code error, tcp::socket socket) {
+    accepting_ = false;
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) {
+      // Out of descriptors, most likely; trying again at once would only spin.
+      log_.line("accept failed: " + error.message());
+      pause_.expires_after(kAcceptPause);
+      pause_.async_wait([this](error_code e) {
+        if (!e) accept();
+      });
+      return;
+    }
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    const std::uint64_t number = ++last_session_;
+    const auto session = std::make_shared<Session>(*this, std::move(socket), number);
+    sessions_.emplace(number, session);
+    session->read();
+    accept();
+  });
+}
+
+void ThriftFront::ended(std::uint64_t session) {
+  sessions_.erase(session);
+  accept();
+}
+
+bool ThriftFront::written_out() const {
+  for (const auto& [_, session] : sessions_) {
+    if (!session->quiet()) return false;
+  }
+  return true;
+}
+
+void ThriftFront::answer(const Ticket& ticket, Answer answer) {
+  const auto at = sessions_.find(ticket.session);
+  if (at == sessions_.end()) return;
+  Session& session = *at->second;
+  session.done(ticket.call);
+  if (answer.verdict == Verdict::kServed) {
+    std::size_t bytes = 0;
+    for (const std::string& page : answer.pages) bytes += page.size();
+    session.push(thrift::served_head(ticket.call, "execute", bytes));
+    for (std::string& page : answer.pages) session.push(std::move(page));
+    session.push(thrift::served_tail(true));
+  } else if (answer.verdict == Verdict::kRefused) {
+    std::vector<std::pair<std::string, std::string>> fields;
+    const std::int64_t wait = answer.come_back.count() / 1000;
+    if (wait > 0) fields.emplace_back("later", std::to_string(wait));
+    session.push(thrift::thrown(ticket.call, 1, fields));
+  } else {
+    session.push(thrift::thrown(ticket.call, 2, {}));
+  }
+  session.mark();
+}
+
+void ThriftFront::flush() {
+  const auto dirty = std::exchange(dirty_, {});
+  for (const auto& session : dirty) session->write();
+}
+
+}  // namespace steprail
--- /dev/null
+++ b/src/settings_json.h
@@ -0,0 +1,68 @@
+// The settings as JSON, decoded in one place for the simulator's adapter and the real coordinator, with the
+// tables that turn names into the module's indices.
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "quillgap/gateway.h"
+
+namespace steprail {
+
+// Names in the order in which they were first met.
+class Names {
+ public:
+  int add(const std::string& name) {
+    const auto [at, fresh] = index_.try_emplace(name, static_cast<int>(names_.size()));
+    if (fresh) names_.push_back(name);
+    return at->second;
+  }
+  int find(const std::string& name, const char* what) const {
+    const int at = index(name);
+    if (at < 0) throw std::runtime_error(std::string("unknown ") + what + " '" + name + "'");
+    return at;
+  }
+  // -1 where the name was never met.
+  int index(std::string_view name) const {
+    const auto at = index_.find(name);
+    return at == index_.end() ? -1 : at->second;
+  }
+  const std::string& name(int index) const { return names_.at(static_cast<std::size_t>(index)); }
+  int size() const { return static_cast<int>(names_.size()); }
+
+ private:
+  std::map<std::string, int, std::less<>> index_;
+  std::vector<std::string> names_;
+};
+
+template <typename T>
+T choose(const std::string& word, const std::map<std::string, T>& words, const char* what) {
+  const auto at = words.find(word);
+  if (at == words.end()) throw std::runtime_error(std::string("unknown ") + what + " '" + word + "'");
+  return at->second;
+}
+
+inline bool present(const nlohmann::json& from, const char* field) {
+  const auto at = from.find(field);
+  return at != from.end() && !at->is_null();
+}
+
+template <typename T>
+T optional_field(const nlohmann::json& from, const char* field, T otherwise) {
+  return present(from, field) ? from.at(field).get<T>() : otherwise;
+}
+
+quillgap::Micros micros(const nlohmann::json& from, const char* field);
+
+struct Tables {
+  Names classes, tenants, zones, kinds, engines;
+};
+
+// Throws where a field that must be there is not, or a name is unknown. Unknown fields are passed over.
+quillgap::Settings read_settings(const nlohmann::json& params, Tables& tables);
+
+}  // namespace steprail
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -30,7 +30,7 @@
   const std::string dir = mkdtemp(path);
   std::ofstream(dir + "/in") << input;
   const std::string command =
-      std::string(QUILLGAP_BENCHLINK) + " <" + dir + "/in >" + dir + "/out 2>" + dir + "/err";
+      std::string(STEPRAIL_WIREHOST) + " <" + dir + "/in >" + dir + "/out 2>" + dir + "/err";
   Played result;
   result.code = WEXITSTATUS(std::system(command.c_str()));
   std::stringstream out(slurp(dir + "/out"));
