Write page reads and check answers in the turn they arise; no fixed cap a engine

Seen: reads of further pages and answers to check waited for the next event's turn, up to a tick; the cap of 8 connections an engine ended attempts unsent where engines have hundreds of cores.

--- a/src/config.h
+++ b/src/config.h
@@ -18,7 +18,7 @@
   std::size_t memory_mb{}, sockets{};
   nlohmann::json known;
   quillgap::Settings settings;
-  EnginePool::Limits engines;  // per_engine is left to the caller
+  EnginePool::Limits engines;  // how many connections is left to the caller
   Tables tables;
 };
 
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -21,6 +21,10 @@
 
 void Coordinator::gather(Event event) {
   gathered_.push_back(std::move(event));
+  wake();
+}
+
+void Coordinator::wake() {
   if (std::exchange(turn_posted_, true)) return;
   // Behind all that is ready now: the turn finds everything that one look at the sockets has brought.
   boost::asio::post(strand_, [this] { turn(); });
@@ -172,7 +176,7 @@
   timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     armed_for_ = Micros{0};
-    if (!std::exchange(turn_posted_, true)) boost::asio::post(strand_, [this] { turn(); });
+    wake();
   });
 }
 
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -32,6 +32,8 @@
   void listed(quillgap::ListMode mode, std::vector<quillgap::EngineEntry> entries,
               std::vector<EngineChange> changes);
 
+  // Asks for a turn, at the end of which what waits to be written leaves.
+  void wake();
   bool knows(RequestId id) const { return open_.contains(id); }
   // Calls back once, in the turn in which the last open request has got its answer; at once if none is open.
   void when_empty(std::function<void()> then);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -19,7 +19,6 @@
 constexpr std::chrono::milliseconds kGrace{700};
 constexpr std::chrono::milliseconds kDrainLook{10};
 constexpr std::size_t kOwnDescriptors = 24;  // log, epoll, timers, signals, listener, directory
-constexpr std::size_t kPerEngineMost = 8;
 
 class Server {
  public:
@@ -59,7 +58,6 @@
   std::size_t client_limit() const { return std::max<std::size_t>(1, config_.sockets * 2 / 5); }
   EnginePool::Limits engine_limits() const {
     EnginePool::Limits limits = config_.engines;
-    limits.per_engine = kPerEngineMost;
     limits.connections = std::max<std::size_t>(
         1, config_.sockets - client_limit() - std::min(config_.sockets / 4, kOwnDescriptors));
     return limits;
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -201,6 +201,7 @@
   void mark() {
     if (std::exchange(dirty_, true)) return;
     pool_.dirty_.push_back(shared_from_this());
+    pool_.coordinator_.wake();
   }
   void set_options() {
     error_code ignored;
@@ -397,7 +398,8 @@
   for (const auto& line : engine.lines) {
     if (line->can_take(id) && (!best || line->live() > best->live())) best = line;
   }
-  if (best || engine.lines.size() >= limits_.per_engine || connections_ >= limits_.connections) return best;
+  // A busy engine may take more than its part, as long as that leaves each of the others one.
+  if (best || connections_ + engines_.size() >= limits_.connections) return best;
   ++connections_;
   best = std::make_shared<Line>(*this, index, *engine.endpoint);
   engine.lines.push_back(best);
--- a/src/net/engine_pool.h
+++ b/src/net/engine_pool.h
@@ -24,8 +24,7 @@
     Micros connect_timeout{0};
     Micros idle{0};             // engines close a connection that has carried nothing for so long
     Micros longest{0};          // that any request lives
-    std::size_t per_engine{};   // connections to one engine at a time ...
-    std::size_t connections{};  // ... and to all of them
+    std::size_t connections{};  // to all engines at a time
     bool reports{};             // probes ask for the load report
   };
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -45,6 +45,7 @@
   void mark() {
     if (std::exchange(dirty_, true)) return;
     front_.dirty_.push_back(shared_from_this());
+    front_.coordinator_.wake();
   }
 
   void write() {
