Give a cancel a start of 40 ms and keep 50 ms of the limit for the ways

A trace showed each second copy sent in the turn of its cancel, on another connection; 2.9 attempts a request, most moved at the first note (200 ms) while a load held their tables on every engine. Ruled out: a wrong attempt counted (the trace pairs every send with one end), our own processor time.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -264,8 +264,7 @@
     // Few samples an engine: what was learned of its pace fades with time, not only with samples.
     e.slowdown.sum *= 1 - kPaceFade * crowding_;
     e.slowdown.weight *= 1 - kPaceFade * crowding_;
-    // One of many gateways sees a finish or two a second: its samples are gathered over engines and seconds
-    // until there are enough, or the bound would walk at random.
+    // One of many gateways sees few finishes: samples are gathered until there are enough.
     const double enough = kEnough * (1 - 1.0 / s_.gateways);
     if (pool_finishes_ > 0 && pool_finishes_ >= enough && (e.finishes > 0 || enough > 0)) {
       const double lent = std::max(0.0, enough - e.finishes);
@@ -285,6 +284,11 @@
 
   // ---- 3. Choice ----
 
+  bool held(const Engine& e, int group) const {
+    const auto until = e.held_until.find(group);
+    return e.loads.contains(group) || (until != e.held_until.end() && until->second > now_);
+  }
+
   double weight(const Engine& e, const Request& r) const {
     const double cores = s_.kinds[static_cast<std::size_t>(e.kind)].cores;
     const double own = e.threads_out * sharers(e) / cores;
@@ -295,10 +299,7 @@
     if (slower > 1) w /= slower;
     const bool warm = std::find(e.warm.begin(), e.warm.end(), r.group) != e.warm.end();
     if (warm && r.group >= 0) w *= kWarmTilt;
-    if (of(r).load || of(r).yields_to_load) {
-      const auto held = e.held_until.find(r.group);
-      if (e.loads.contains(r.group) || (held != e.held_until.end() && held->second > now_)) w *= kHeldTilt;
-    }
+    if ((of(r).load || of(r).yields_to_load) && held(e, r.group)) w *= kHeldTilt;
     if (s_.own_zone >= 0 && e.zone != s_.own_zone) w /= 1 + kZoneTilt * s_.cross_zone_cost;
     const double losing = std::max(0.0, e.lost.get(0) - pool_lost_.get(0));
     w *= std::pow(1 - losing, kLossPower);
@@ -543,8 +544,7 @@
       e.cold_sends.emplace_back(now_, mean_work(r.cls));
       e.cold_used += cold_work(r);
     }
-    // Each trial doubles the wait for the next; further signs of the same trouble do not, or an engine that
-    // was cut off for seconds would stay shunned for many more.
+    // Each trial doubles the wait for the next; further signs of the same trouble do not.
     if (e.shunned) trials_ -= 1;
     if (e.shunned) e.trial_at = now_ + e.trial_wait, e.trial_wait = std::min(kTrialMost, 2 * e.trial_wait);
     r.attempts.push_back({index, now_});
@@ -734,8 +734,10 @@
     if (s_.priority_heeded && !r->finished && priority(*r) != r->priority) terms(n.id, *r, e);
     if (n.topic == Topic::kWaits && n.amount >= 2) e.held_until[r->group] = now_ + 2 * s_.progress;
     if (n.topic != Topic::kProgress || !std::isfinite(n.amount)) return;
-    // Whatever the cause, a query that would be done much sooner elsewhere, and too late for its aim here,
-    // begins anew. Hurts where the estimate was far too low.
+    // A query that would be done much sooner elsewhere, and too late for its aim here, begins anew; but not
+    // one that loads would hold up everywhere. Hurts where the estimate was far too low.
+    const auto no_better = [&](const Engine& other) { return !other.listed || held(other, r->group); };
+    if (of(*r).yields_to_load && std::all_of(engines_.begin(), engines_.end(), no_better)) return;
     const double age = ms(now_ - a.sent);
     const double remaining = age / std::clamp(n.amount, 0.01, 1.0) - age;
     slowed(e, *r, age + remaining);
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -42,8 +42,6 @@
   config.engines.multiplex = std::max(1, optional_field(params.at("limits"), "multiplex", 1));
   config.engines.connect_timeout = config.settings.connect_timeout;
   config.engines.idle = micros(params.at("limits"), "conn_idle_us");
-  for (const auto& c : config.settings.classes)
-    config.engines.longest = std::max(config.engines.longest, c.hard_limit);
   config.engines.reports = config.settings.reports != quillgap::Reports::kSilent;
   return config;
 }
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -7,6 +7,17 @@
 
 using namespace quillgap;
 
+namespace {
+// A cancel and the next attempt travel on different connections: the cancel gets this start, or the next
+// engine could begin while the first one has not heard, and two attempts would be out.
+constexpr Micros kCancelStart{40'000};
+// The limit counts from the client's send, which nobody here sees. So much of it (and no more than this part)
+// is kept for the ways in and out, so that the last answer still finds its client waiting.
+constexpr Micros kWays{50'000};
+constexpr int kWaysPart = 20;
+constexpr Micros kLate{30'000}, kLateLines{200'000};  // what is logged, and how often
+}  // namespace
+
 Coordinator::Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings)
     : strand_(strand), log_(log), settings_(settings), module_(seed, std::move(settings)), timer_(strand) {}
 
@@ -35,7 +46,7 @@
   STEPRAIL_INVARIANT(log_, fresh);
   if (!fresh) return;
   Open& open = at->second;
-  open.deadline = query.taken + query.limit;
+  open.deadline = query.taken + query.limit - std::min(kWays, query.limit / kWaysPart);
   open.query = std::move(query);
   ++unanswered_;
   const Query& q = open.query;
@@ -44,7 +55,7 @@
   arrival.id = q.id;
   arrival.cls = q.cls;
   arrival.tenant = q.tenant;
-  arrival.left = q.limit;
+  arrival.left = open.deadline - q.taken;
   arrival.estimate_ms = q.estimate_ms;
   arrival.memory_mb = q.memory_mb;
   arrival.group = q.group;
@@ -90,11 +101,21 @@
   gather(closed);
 }
 
+// The engine is told at once, the module once the engine must have heard.
+void Coordinator::give_up(Open& open, Outcome outcome) {
+  engines_->give_up(open.query.id, open.attempts - 1);
+  open.out = Out::kClosing;
+  open.given_up = outcome;
+  const Micros told = open.answered ? now_ : std::min(now_ + kCancelStart, std::max(now_, open.deadline));
+  timeouts_.push({told, Due::kGivenUp, open.query.id, open.attempts - 1});
+}
+
 // ---- A turn ----
 
 void Coordinator::turn() {
   turn_posted_ = false;
   now_ = clock_.now();
+  watch_lateness();
   expire();
   batch_.swap(gathered_);
   for (Event& event : batch_) decide(event);
@@ -108,6 +129,15 @@
   if (unanswered_ == 0 && when_empty_) std::exchange(when_empty_, nullptr)();
 }
 
+// Turns that come late cost answers: on-call staff must see it before clients do.
+void Coordinator::watch_lateness() {
+  if (timeouts_.empty() || now_ - timeouts_.top().at < kLate || now_ < next_late_line_) return;
+  next_late_line_ = now_ + kLateLines;
+  log_.line("late by " + std::to_string((now_ - timeouts_.top().at).count() / 1000) + " ms, " +
+            std::to_string(open_.size()) + " requests held, " + std::to_string(gathered_.size()) +
+            " events at once");
+}
+
 void Coordinator::expire() {
   while (!timeouts_.empty() && timeouts_.top().at <= now_) {
     const Timeout due = timeouts_.top();
@@ -120,9 +150,9 @@
     if (at == open_.end()) continue;
     Open& open = at->second;
     if (due.what == Due::kAttempt) {
-      if (open.out != Out::kOut || due.attempt != open.attempts - 1) continue;
-      engines_->give_up(due.id, due.attempt);
-      close(open, Outcome::kExpired);
+      if (open.out == Out::kOut && due.attempt == open.attempts - 1) give_up(open, Outcome::kExpired);
+    } else if (due.what == Due::kGivenUp) {
+      close(open, open.given_up);
     } else if (!open.answered && open.out == Out::kNone) {
       // The module answers before a client's deadline; one that it forgot must still get its answer.
       STEPRAIL_INVARIANT(log_, open.answered);
@@ -205,8 +235,7 @@
   if (at == open_.end()) return;
   Open& open = at->second;
   if (open.out != Out::kOut || cancel.attempt != open.attempts - 1) return;
-  engines_->give_up(cancel.id, cancel.attempt);
-  close(open, Outcome::kRevoked);
+  give_up(open, Outcome::kRevoked);
 }
 
 void Coordinator::carry_out(const Refuse& refuse) {
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -50,9 +50,10 @@
     Out out{Out::kNone};
     int engine{};
     Micros sent{0};
+    quillgap::Outcome given_up{};    // what the module is told of an attempt that was given up
     std::vector<std::string> pages;  // of an attempt that was delivered but not yet told
   };
-  enum class Due { kAlarm, kAttempt, kRequest };
+  enum class Due { kAlarm, kAttempt, kGivenUp, kRequest };
   struct Timeout {
     Micros at{0};
     Due what{Due::kAlarm};
@@ -63,9 +64,11 @@
 
   void gather(quillgap::Event event);
   void turn();
+  void watch_lateness();
   void expire();
   void decide(quillgap::Event& event);
   void close(Open& open, quillgap::Outcome outcome, quillgap::LoadReport report = {});
+  void give_up(Open& open, quillgap::Outcome outcome);
   void finish(Open& open, Answer answer);
   void forget(RequestId id);
   void arm();
@@ -91,7 +94,7 @@
   boost::asio::steady_timer timer_;
   Micros armed_for_{0};
   bool turn_posted_{false};
-  Micros now_{0};
+  Micros now_{0}, next_late_line_{0};
   std::size_t unanswered_{0};
   std::unordered_map<RequestId, Open> open_;
   std::priority_queue<Timeout, std::vector<Timeout>, std::greater<>> timeouts_;
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -13,7 +13,7 @@
 using quillgap::Standing;
 
 namespace {
-constexpr Micros kSweep{250'000};
+constexpr Micros kSweep{500'000};
 constexpr Micros kProbePatience{1'000'000};
 constexpr double kIdlePart = 0.7;  // of the idle time, after which a connection is not used again
 constexpr std::int64_t kPagesMost = 1024;
@@ -78,6 +78,7 @@
     slot.name = dispatch.query.name;
     slot.attempt = dispatch.attempt;
     slot.tag = ++last_tag_;
+    slot.deadline = dispatch.query.taken + dispatch.query.limit;
     slots_.emplace(dispatch.query.id, std::move(slot));
     ++live_;
     out_.push(serve_command(dispatch), last_tag_);
@@ -142,10 +143,8 @@
       if (now - sent > kProbePatience) late.push_back(number);
     }
     for (const std::uint64_t number : late) probe_ended(number, false, {});
-    // No request lives so long that its id could be sent again.
-    std::erase_if(slots_, [&](const auto& entry) {
-      return entry.second.abandoned && now - entry.second.since > pool_.limits_.longest;
-    });
+    std::erase_if(slots_,
+                  [&](const auto& entry) { return entry.second.abandoned && now > entry.second.deadline; });
     if (idle() && up_ && idle_for() > kIdlePart) close({});
   }
 
@@ -178,7 +177,7 @@
     int attempt{};
     std::uint64_t tag{};
     bool abandoned{};
-    Micros since{0};                 // abandoned
+    Micros deadline{0};              // of the request; its id is not sent again after that
     std::vector<std::string> pages;  // once it was acknowledged: all of them, those missing empty
     std::vector<bool> have;
     std::size_t missing{};
@@ -211,7 +210,6 @@
 
   void abandon(Slot& slot) {
     slot.abandoned = true;
-    slot.since = pool_.coordinator_.now();
     slot.pages.clear();
     slot.have.clear();
   }
--- a/src/net/engine_pool.h
+++ b/src/net/engine_pool.h
@@ -23,7 +23,6 @@
     std::size_t multiplex{1};  // attempts on a connection at a time
     Micros connect_timeout{0};
     Micros idle{0};             // engines close a connection that has carried nothing for so long
-    Micros longest{0};          // that any request lives
     std::size_t connections{};  // to all engines at a time
     bool reports{};             // probes ask for the load report
   };
