--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -428,8 +428,7 @@
     choose_subset();
   }
 
-  // Unexpected silence: attempts overdue by far and nothing heard since they went out; where notes are
-  // promised, none for several of their intervals.
+  // Unexpected silence: nothing heard for far too long; where notes are promised, for several intervals.
   void listen() {
     std::map<int, int> overdue;
     for (const auto& [id, r] : requests_) {
