--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,447 @@
+// Stories of the real coordinator over loopback sockets, against scripted clients, engines and a directory.
+// One thread runs all: each story advances the program until what it waits for has happened.
+#define CATCH_CONFIG_MAIN
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <functional>
+
+#include "net/engine_line.h"
+#include "net/statement.h"
+#include "net/thrift.h"
+#include "server.h"
+
+namespace {
+
+using namespace steprail;
+using nlohmann::json;
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::chrono::seconds kGiveUp{30};  // ends a story that hangs; no verdict depends on it
+
+std::string address(const tcp::acceptor& at) {
+  return "127.0.0.1:" + std::to_string(at.local_endpoint().port());
+}
+
+// The far end of a connection, read without waiting.
+class Peer {
+ public:
+  explicit Peer(tcp::socket socket) : socket_(std::move(socket)) { socket_.non_blocking(true); }
+  void write(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
+  void close() { socket_.close(); }
+  bool ended() const { return ended_; }
+  const std::string& read() {
+    char bytes[4096];
+    error_code error;
+    while (!ended_ && socket_.is_open()) {
+      const std::size_t count = socket_.read_some(asio::buffer(bytes), error);
+      if (error == asio::error::would_block) break;
+      if (error) ended_ = true;
+      in.append(bytes, count);
+    }
+    return in;
+  }
+  bool has(const std::string& text) { return read().find(text) != std::string::npos; }
+  std::string in;
+
+ private:
+  tcp::socket socket_;
+  bool ended_{false};
+};
+
+struct Listener {
+  explicit Listener(asio::io_context& io) : acceptor(io, {asio::ip::address_v4::loopback(), 0}) {
+    acceptor.non_blocking(true);
+  }
+  void poll() {
+    for (;;) {
+      error_code error;
+      tcp::socket socket(acceptor.get_executor());
+      acceptor.accept(socket, error);
+      if (error) return;
+      peers.push_back(std::make_unique<Peer>(std::move(socket)));
+    }
+  }
+  // The n-th connection, once it is there.
+  Peer* peer(std::size_t n) { return poll(), n < peers.size() ? peers[n].get() : nullptr; }
+  bool has(std::size_t n, const std::string& text) { return peer(n) != nullptr && peers[n]->has(text); }
+  tcp::acceptor acceptor;
+  std::vector<std::unique_ptr<Peer>> peers;
+};
+
+json row(int number, const std::string& at, const std::string& status = "active") {
+  return {{"name", "engine" + std::to_string(number)},
+          {"address", at},
+          {"zone", "here"},
+          {"type", "box"},
+          {"group", 0},
+          {"status", status},
+          {"weight", 1.0},
+          {"since_ms", 0}};
+}
+
+json event(int index, json rows, bool snapshot) {
+  return {{"index", index}, {"endpoints", {{"index", index}, {"snapshot", snapshot}, {"endpoints", rows}}}};
+}
+
+json config(const std::string& directory, json rows) {
+  const auto cls = [](const char* name, const char* effect) {
+    return json{{"name", name}, {"effect", effect}, {"objective_us", 1000000}, {"hard_limit_us", 20000000}};
+  };
+  return {{"name", "n0"},
+          {"listen", "127.0.0.1:0"},
+          {"seed", "8c1f30d27a5be964"},
+          {"coordinator", directory},
+          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+          {"known", {{"index", 1}, {"updates", {event(1, rows, true)}}}},
+          {"settings",
+           {{"balancers", 1},
+            {"rank", 0},
+            {"localities", {"here"}},
+            {"locality", "here"},
+            {"host_types", {"box"}},
+            {"registry_mode", "push"},
+            {"reporting", {{"how", "piggyback"}, {"names", {"load_share"}}}},
+            {"family_info", {{"cores_by_kind", {8}}, {"threads_by_class", {1, 1}}}},
+            {"limits",
+             {{"most_tries", 3},
+              {"may_cancel", true},
+              {"multiplex", 10},
+              {"retry_after", true},
+              {"max_retry_after_us", 700000},
+              {"conn_idle_us", 15000000},
+              {"connect_timeout_us", 250000}}},
+            {"rules", {{"answer_slack_us", 20000}, {"drain_grace_us", 1000000}}},
+            {"profiles", {cls("lookup", "repeatable"), cls("load", "once")}}}}};
+}
+
+Config decoded(const json& from) {
+  char path[] = "/tmp/steprail-config-XXXXXX";
+  close(mkstemp(path));
+  std::ofstream(path) << from.dump();
+  const auto remove =
+      std::unique_ptr<const char, void (*)(const char*)>(path, [](const char* p) { std::remove(p); });
+  return read_config(path);
+}
+
+std::string number(std::uint32_t value, int bytes = 4) {
+  std::string out;
+  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift));
+  return out;
+}
+std::string text(const std::string& s) { return number(static_cast<std::uint32_t>(s.size())) + s; }
+std::string frame(int kind, const std::string& method, int call, const std::string& args) {
+  return text(number(0x80010000u | static_cast<unsigned>(kind)) + text(method) +
+              number(static_cast<std::uint32_t>(call)) + args);
+}
+std::string execute(int call, const std::vector<std::pair<std::string, std::string>>& fields) {
+  std::string args = "\x0d" + number(1, 2) + "\x0b\x0b" + number(static_cast<std::uint32_t>(fields.size()));
+  for (const auto& [name, value] : fields) args += text(name) + text(value);
+  return frame(1, "execute", call, args + "\x0b" + number(2, 2) + text("select 1 from a_7.t") + '\0');
+}
+std::string query(int call, const std::string& id, const std::string& verb = "lookup",
+                  const std::string& limit = "9000") {
+  return execute(call, {{"txn", id}, {"verb", verb}, {"limit", limit}, {"team", "acme"}});
+}
+std::string interrupt(int call) {
+  return frame(4, "interrupt", 99, "\x08" + number(1, 2) + number(static_cast<std::uint32_t>(call)) + '\0');
+}
+const std::string kCheck = frame(1, "check", 50, std::string(1, '\0'));
+
+// What an answer's frame holds.
+struct Told {
+  int call{};
+  int kind{};
+  int field{-1};  // 0 served, 1 refused, 2 failed
+  std::string rest;
+};
+
+const std::string kId = "00000000000000a1";
+
+class World {
+ public:
+  explicit World(
+      std::size_t count, const std::function<void(json&)>& change = [](json&) {})
+      : directory(io) {
+    json rows = json::array();
+    for (std::size_t i = 0; i < count; ++i) {
+      engines.push_back(std::make_unique<Listener>(io));
+      rows.push_back(row(static_cast<int>(i), address(engines[i]->acceptor)));
+    }
+    json from = config(address(directory.acceptor), rows);
+    change(from);
+    server = std::make_unique<Server>(decoded(from));
+    server->start();
+  }
+  ~World() { CHECK(server->broken_invariants() == 0); }
+
+  std::unique_ptr<Peer> client() {
+    tcp::socket socket(io);
+    socket.connect(server->endpoint());
+    return std::make_unique<Peer>(std::move(socket));
+  }
+  void until(const std::function<bool()>& happened) {
+    const auto end = std::chrono::steady_clock::now() + kGiveUp;
+    while (!happened()) {
+      REQUIRE(std::chrono::steady_clock::now() < end);
+      server->io().run_for(std::chrono::milliseconds(1));
+    }
+  }
+  // The client's next answer, taken off what it has read.
+  Told answer(Peer& client) {
+    std::size_t length = 0;
+    until([&] {
+      if (client.read().size() < 4) return false;
+      length = static_cast<std::size_t>(thrift::frame_length(client.in));
+      return client.in.size() >= 4 + length;
+    });
+    const std::string bytes = client.in.substr(4, length);
+    client.in.erase(0, 4 + length);
+    thrift::Reader reader(bytes);
+    thrift::Message message;
+    REQUIRE(thrift::read_head(reader, message));
+    Told told{message.call, static_cast<int>(message.kind), -1, bytes};
+    if (message.kind == thrift::Kind::kReply) reader.u8(), told.field = reader.i16();
+    return told;
+  }
+
+  asio::io_context io;
+  Listener directory;
+  std::vector<std::unique_ptr<Listener>> engines;
+  std::unique_ptr<Server> server;
+};
+
+std::string ack(const std::string& id, const std::string& body, int pages = 1) {
+  return id + " ACK count=" + std::to_string(pages) + ",rep=load_share:0.5 " + std::to_string(body.size()) +
+         "\r\n" + body + "\r\n";
+}
+std::string block(const std::string& id, const std::string& body, int page) {
+  return id + " BLOCK pos=" + std::to_string(page) + ' ' + std::to_string(body.size()) + "\r\n" + body +
+         "\r\n";
+}
+
+}  // namespace
+
+// Guards against a result put together in the order in which its pages came.
+TEST_CASE("pages that come out of order are passed on in order and unchanged") {
+  World w(1);
+  const auto client = w.client();
+  client->write(query(1, kId));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId); });
+  Peer& engine = *w.engines[0]->peer(0);
+  engine.write(ack(kId, "a\tb\tc\n", 3));
+  w.until([&] { return engine.has("read " + kId + " 1\r\n") && engine.has("read " + kId + " 2\r\n"); });
+  engine.write(block(kId, "\r\n2\t\t\n", 2));
+  engine.write(block(kId, "1\t\t\n", 1));
+  const Told told = w.answer(*client);
+  CHECK(told.field == 0);
+  CHECK(told.rest.find("a\tb\tc\n1\t\t\n\r\n2\t\t\n") != std::string::npos);
+}
+
+// Guards against pages lost after ACK being counted as served, and against a load that runs twice for them.
+TEST_CASE("a load whose pages are lost has failed and is not sent again") {
+  World w(2);
+  const auto client = w.client();
+  client->write(query(1, kId, "load"));
+  std::size_t at = 0;
+  w.until([&] {
+    for (at = 0; at < 2; ++at)
+      if (w.engines[at]->has(0, "serve " + kId)) return true;
+    return false;
+  });
+  Peer& engine = *w.engines[at]->peer(0);
+  engine.write(ack(kId, "a\t\t\n", 2));
+  w.until([&] { return engine.has("read " + kId + " 1\r\n"); });
+  engine.close();
+  CHECK(w.answer(*client).field == 2);
+  CHECK_FALSE(w.engines[1 - at]->has(0, "serve"));
+}
+
+// Guards against an answer to a cancelled attempt that crosses the second attempt at the same engine, and
+// against a second attempt that leaves before the cancel of the first.
+TEST_CASE("the late answer of a cancelled attempt never counts for the next one") {
+  World w(1);
+  const auto client = w.client();
+  client->write(query(1, kId, "lookup", "2500"));
+  w.until([&] { return w.engines[0]->has(1, "serve " + kId); });
+  CHECK(w.engines[0]->has(0, "cancel " + kId));
+  w.engines[0]->peer(0)->write(ack(kId, "old\t\t\n"));
+  w.engines[0]->peer(1)->write(ack(kId, "new\t\t\n"));
+  const Told told = w.answer(*client);
+  CHECK(told.field == 0);
+  CHECK(told.rest.find("new") != std::string::npos);
+}
+
+// Guards against a load given up although a refused connection proves that it never ran.
+TEST_CASE("a load goes on to another engine where the first one refuses the connection") {
+  World w(2);
+  w.engines[0]->acceptor.close();
+  const auto client = w.client();
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "00000000000000b" + std::to_string(i);
+    client->write(query(i, id, "load"));
+    w.until([&] { return w.engines[1]->has(0, "serve " + id); });
+    w.engines[1]->peer(0)->write(ack(id, "x\t\t\n"));
+    CHECK(w.answer(*client).field == 0);
+  }
+}
+
+// Guards against sends to an engine after the news that it drains.
+TEST_CASE("an engine that drains gets nothing new, and a refusal is at once and says when to come back") {
+  World w(1);
+  const auto client = w.client();
+  w.until([&] { return w.directory.has(0, "follow 1\n"); });
+  w.directory.peer(0)->write(event(2, {row(0, address(w.engines[0]->acceptor), "leaving")}, false).dump() +
+                             "\n2\n");
+  for (int call = 0;; ++call) {
+    std::string id = "00000000000000c0";
+    id.back() = static_cast<char>('0' + call % 10);
+    client->write(query(call, id));
+    bool served = false;
+    w.until([&] {
+      served = w.engines[0]->has(0, "serve " + id);
+      return served || !client->read().empty();
+    });
+    if (served) w.engines[0]->peer(0)->write(ack(id, "x\t\t\n"));
+    const Told told = w.answer(*client);
+    if (served) continue;
+    CHECK(told.field == 1);
+    CHECK(told.rest.find("later") != std::string::npos);
+    CHECK(told.rest.find("700") != std::string::npos);
+    break;
+  }
+}
+
+// Guards against events that are lost with a connection, and a bad line that stops the list for good.
+TEST_CASE("the directory is followed anew from the last event after a bad line") {
+  World w(1);
+  w.until([&] { return w.directory.has(0, "follow 1\n"); });
+  w.directory.peer(0)->write(event(2, {row(0, address(w.engines[0]->acceptor))}, false).dump() +
+                             "\n{\"index\":\n");
+  w.until([&] { return w.directory.has(1, "follow 2\n"); });
+}
+
+// Guards against one client's bad bytes that end another client's connection.
+TEST_CASE("a bad frame closes its own connection alone") {
+  World w(1);
+  const auto good = w.client();
+  for (const std::string& bad :
+       {std::string("\xff\xff\xff\xff"), std::string("\x7f\0\0\0", 4), text("GET / HTTP"),
+        text(number(0x80020001u) + text("check") + number(1) + '\0')}) {
+    const auto rude = w.client();
+    rude->write(bad);
+    w.until([&] { return rude->read(), rude->ended(); });
+  }
+  good->write(kCheck);
+  const Told told = w.answer(*good);
+  CHECK(told.call == 50);
+  CHECK(told.rest.substr(told.rest.size() - 3, 1) == std::string(1, '\1'));
+}
+
+// Guards against silence, or a closed connection, where a request can be read but not used.
+TEST_CASE("what cannot be used is answered failed, an unknown method with an exception") {
+  World w(1);
+  const auto client = w.client();
+  client->write(frame(1, "fly", 7, std::string(1, '\0')));
+  Told told = w.answer(*client);
+  CHECK(told.kind == 3);
+  CHECK(told.call == 7);
+  client->write(query(8, "nonsense") + query(9, kId, "dance") + query(10, kId, "lookup", "-4") +
+                execute(11, {{"txn", kId}}));
+  for (int call = 8; call <= 11; ++call) {
+    told = w.answer(*client);
+    CHECK(told.call == call);
+    CHECK(told.field == 2);
+  }
+}
+
+// Guards against work for a client that has gone, and an answer that nobody is owed.
+TEST_CASE("an interrupted request is cancelled at its engine and not answered") {
+  World w(1);
+  const auto client = w.client();
+  client->write(query(1, kId));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId); });
+  client->write(interrupt(1));
+  w.until([&] { return w.engines[0]->has(0, "cancel " + kId); });
+  client->write(kCheck);
+  CHECK(w.answer(*client).call == 50);
+  CHECK(client->in.empty());
+}
+
+// Guards against an engine's garbage that is taken for an answer: its attempts end, and may go elsewhere.
+TEST_CASE("an unreadable line drops the engine's connection and its attempts") {
+  World w(1);
+  const auto client = w.client();
+  client->write(query(1, kId));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId); });
+  w.engines[0]->peer(0)->write(kId + " HUH - 0\r\n\r\n");
+  w.until([&] { return w.engines[0]->has(1, "serve " + kId); });
+  CHECK((w.engines[0]->peer(0)->read(), w.engines[0]->peer(0)->ended()));
+  w.engines[0]->peer(1)->write(ack(kId, "x\t\t\n"));
+  CHECK(w.answer(*client).field == 0);
+}
+
+// Guards against requests lost at a planned restart.
+TEST_CASE("after SIGTERM check is false, new connections are served, and the end waits for the last answer") {
+  World w(1);
+  const auto client = w.client();
+  client->write(query(1, kId));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId); });
+  w.server->stop();
+  const auto late = w.client();
+  late->write(kCheck + query(2, "00000000000000a2"));
+  const Told told = w.answer(*late);
+  CHECK(told.rest.substr(told.rest.size() - 3, 1) == std::string(1, '\0'));
+  w.until([&] { return w.engines[0]->has(0, "serve 00000000000000a2"); });
+  CHECK_FALSE(w.server->io().stopped());
+  w.engines[0]->peer(0)->write(ack("00000000000000a2", "x\t\t\n") + ack(kId, "x\t\t\n"));
+  CHECK(w.answer(*late).field == 0);
+  CHECK(w.answer(*client).field == 0);
+  w.until([&] { return w.server->io().stopped(); });
+}
+
+// Guards against an answer that is cut by the reads, at whatever byte.
+TEST_CASE("an engine's answer is read once it is whole, and not before") {
+  const std::string whole = kId + " ACK count=2,rep=util:0.61;inflight:7 3\r\na\r\n\r\n";
+  EngineAnswer answer;
+  std::size_t used = 0;
+  for (std::size_t i = 0; i < whole.size(); ++i)
+    CHECK(parse_answer(whole.substr(0, i), answer, used) == Parsed::kMore);
+  REQUIRE(parse_answer(whole + "next", answer, used) == Parsed::kWhole);
+  CHECK(used == whole.size());
+  CHECK(answer.body == "a\r\n");
+  CHECK(answer.count == 2);
+  CHECK(answer.report.utilisation == 0.61);
+  CHECK(answer.report.in_flight == 7.0);
+  CHECK(parse_answer(kId + " ACK - x\r\n", answer, used) == Parsed::kBad);
+  CHECK(parse_answer(kId + " ACK - 1\r\nab\r\n", answer, used) == Parsed::kBad);
+}
+
+// Guards against names in strings and comments, and the schema `staging`, that decide where a query goes.
+TEST_CASE("the group of tables is the schema's number") {
+  CHECK(table_group("SELECT n -- was: from mart_1.old\nFROM lake_10.stock") == 10);
+  CHECK(table_group("select a.n, 'from lake_0.decoy' as note from sales_5.visits a") == 5);
+  CHECK(table_group("merge into sales_6.orders d using staging.delta s on d.id = s.id") == 6);
+  CHECK(table_group("/* ops_2.x */ insert into \"ops_3\".events select * from staging.delta") == 3);
+  CHECK(table_group("select 1") == -1);
+}
+
+// Guards against a start with a configuration that would fail later.
+TEST_CASE("a configuration that cannot be used is one plain line") {
+  const json good = config("127.0.0.1:9", json::array());
+  for (const char* field : {"settings", "known", "listen", "limits"}) {
+    json bad = good;
+    bad.erase(field);
+    try {
+      decoded(bad);
+      FAIL("was accepted without " << field);
+    } catch (const std::exception& fault) {
+      CHECK(std::string(fault.what()).find('\n') == std::string::npos);
+    }
+  }
+}
