--- a/examples/example.cpp
+++ b/examples/example.cpp
@@ -1,10 +1,10 @@
 // One engine, one query: the smallest use of the library.
-#include <quillgap/gateway.h>
+#include <steprail/gateway.h>
 
 #include <cstdio>
 
 int main() {
-  using namespace quillgap;
+  using namespace steprail;
   using namespace std::chrono_literals;
 
   Settings settings;
--- a/include/quillgap/gateway.h
+++ b/include/steprail/gateway.h
@@ -1,4 +1,4 @@
-// quillgap: the decisions of one gateway in front of a pool of query engines.
+// steprail: the decisions of one gateway in front of a pool of query engines.
 //
 // A Gateway is fed events and appends actions; it has no clock, no thread and no randomness of its own beyond
 // its seed, so equal events give equal actions. Classes, tenants, zones, kinds and engines are indices into
@@ -14,7 +14,7 @@
 #include <variant>
 #include <vector>
 
-namespace quillgap {
+namespace steprail {
 
 using Micros = std::chrono::microseconds;
 using RequestId = std::uint64_t;
@@ -257,4 +257,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace quillgap
+}  // namespace steprail
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,13 +1,13 @@
-// Interface: include/quillgap/gateway.h. This file holds every decision of quillgap; docs/design.md says why.
+// Interface: include/steprail/gateway.h. This file holds every decision of steprail; docs/design.md says why.
 #include <algorithm>
 #include <cmath>
 #include <deque>
 #include <map>
 #include <random>
 
-#include "quillgap/gateway.h"
+#include "steprail/gateway.h"
 
-namespace quillgap {
+namespace steprail {
 namespace {
 
 // ---- Constants: dimensionless, or times that the design itself names ----
@@ -933,4 +933,4 @@
   return e == nullptr ? 0 : e->backlog;
 }
 
-}  // namespace quillgap
+}  // namespace steprail
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -38,11 +38,11 @@
   config.known = from.at("known");
   const json& params = from.at("settings");
   config.settings = read_settings(params, config.tables);
-  quillgap::validate(config.settings);
+  validate(config.settings);
   config.engines.multiplex = std::max(1, optional_field(params.at("limits"), "multiplex", 1));
   config.engines.connect_timeout = config.settings.connect_timeout;
   config.engines.idle = micros(params.at("limits"), "conn_idle_us");
-  config.engines.reports = config.settings.reports != quillgap::Reports::kSilent;
+  config.engines.reports = config.settings.reports != Reports::kSilent;
   return config;
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -17,7 +17,7 @@
   std::uint64_t seed{};
   std::size_t memory_mb{}, sockets{};
   nlohmann::json known;
-  quillgap::Settings settings;
+  Settings settings;
   EnginePool::Limits engines;  // how many connections is left to the caller
   Tables tables;
 };
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -5,8 +5,6 @@
 
 namespace steprail {
 
-using namespace quillgap;
-
 namespace {
 // A cancel and the next attempt travel on different connections: the cancel gets this start, or the next
 // engine could begin while the first one has not heard, and two attempts would be out.
@@ -254,6 +252,6 @@
 
 void Coordinator::carry_out(const Probe& probe) { engines_->probe(probe.engine); }
 void Coordinator::carry_out(const Timer& timer) { timeouts_.push({timer.due, Due::kAlarm, timer.label, 0}); }
-void Coordinator::carry_out(const quillgap::Log& text) { log_.line(text.text); }
+void Coordinator::carry_out(const Log& text) { log_.line(text.text); }
 
 }  // namespace steprail
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -19,7 +19,7 @@
 
 class Coordinator {
  public:
-  Coordinator(Strand strand, EventLog& log, std::uint64_t seed, quillgap::Settings settings);
+  Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings);
   void attach(Front& front, Engines& engines);
   void start();
 
@@ -27,10 +27,9 @@
   void arrived(Query query);
   void client_gone(RequestId id);
   void attempt_ended(AttemptEnd end);
-  void noted(quillgap::Note note);
-  void probed(quillgap::ProbeResult result);
-  void listed(quillgap::ListMode mode, std::vector<quillgap::EngineEntry> entries,
-              std::vector<EngineChange> changes);
+  void noted(Note note);
+  void probed(ProbeResult result);
+  void listed(ListMode mode, std::vector<EngineEntry> entries, std::vector<EngineChange> changes);
 
   // Asks for a turn, at the end of which what waits to be written leaves.
   void wake();
@@ -50,7 +49,7 @@
     Out out{Out::kNone};
     int engine{};
     Micros sent{0};
-    quillgap::Outcome given_up{};    // what the module is told of an attempt that was given up
+    Outcome given_up{};              // what the module is told of an attempt that was given up
     std::vector<std::string> pages;  // of an attempt that was delivered but not yet told
   };
   enum class Due { kAlarm, kAttempt, kGivenUp, kRequest };
@@ -62,33 +61,33 @@
     bool operator>(const Timeout& other) const { return at > other.at; }
   };
 
-  void gather(quillgap::Event event);
+  void gather(Event event);
   void turn();
   void watch_lateness();
   void expire();
-  void decide(quillgap::Event& event);
-  void close(Open& open, quillgap::Outcome outcome, quillgap::LoadReport report = {});
-  void give_up(Open& open, quillgap::Outcome outcome);
+  void decide(Event& event);
+  void close(Open& open, Outcome outcome, LoadReport report = {});
+  void give_up(Open& open, Outcome outcome);
   void finish(Open& open, Answer answer);
   void forget(RequestId id);
   void arm();
 
-  void carry_out(const quillgap::Send& send);
-  void carry_out(const quillgap::Cancel& cancel);
-  void carry_out(const quillgap::Refuse& refuse);
-  void carry_out(const quillgap::Fail& fail);
-  void carry_out(const quillgap::Probe& probe);
-  void carry_out(const quillgap::Timer& timer);
-  void carry_out(const quillgap::Log& text);
-  void carry_out(const quillgap::Terms&) {}      // engines choose memory themselves and heed no priority
-  void carry_out(const quillgap::Subscribe&) {}  // the directory is followed from the start
-  void carry_out(const quillgap::FetchList&) {}
+  void carry_out(const Send& send);
+  void carry_out(const Cancel& cancel);
+  void carry_out(const Refuse& refuse);
+  void carry_out(const Fail& fail);
+  void carry_out(const Probe& probe);
+  void carry_out(const Timer& timer);
+  void carry_out(const Log& text);
+  void carry_out(const Terms&) {}      // engines choose memory themselves and heed no priority
+  void carry_out(const Subscribe&) {}  // the directory is followed from the start
+  void carry_out(const FetchList&) {}
 
   Strand strand_;
   EventLog& log_;
   Clock clock_;
-  quillgap::Settings settings_;
-  quillgap::Gateway module_;
+  Settings settings_;
+  Gateway module_;
   Front* front_{};
   Engines* engines_{};
   boost::asio::steady_timer timer_;
@@ -98,8 +97,8 @@
   std::size_t unanswered_{0};
   std::unordered_map<RequestId, Open> open_;
   std::priority_queue<Timeout, std::vector<Timeout>, std::greater<>> timeouts_;
-  std::vector<quillgap::Event> gathered_, batch_;
-  std::vector<quillgap::Action> actions_;
+  std::vector<Event> gathered_, batch_;
+  std::vector<Action> actions_;
   std::function<void()> when_empty_;
 };
 
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -6,13 +6,10 @@
 #include <string_view>
 #include <vector>
 
-#include "quillgap/gateway.h"
+#include "steprail/gateway.h"
 
 namespace steprail {
 
-using quillgap::Micros;
-using quillgap::RequestId;
-
 // Where an answer goes: a front's own numbers for a client's connection and the call on it.
 struct Ticket {
   std::uint64_t session{};
@@ -61,7 +58,7 @@
   int engine{};
   std::string name;
   std::string address;
-  quillgap::Standing standing{quillgap::Standing::kReady};
+  Standing standing{Standing::kReady};
   Micros came_up{0};
 };
 
@@ -79,8 +76,8 @@
 struct AttemptEnd {
   RequestId id{};
   int attempt{};
-  quillgap::Outcome outcome{};
-  quillgap::LoadReport report;
+  Outcome outcome{};
+  LoadReport report;
   std::vector<std::string> pages;  // delivered: all of them
 };
 
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -9,8 +9,6 @@
 
 using boost::system::error_code;
 using nlohmann::json;
-using quillgap::ListMode;
-using quillgap::Standing;
 
 namespace {
 constexpr std::chrono::milliseconds kSilenceMost{3500};  // a line comes every second
@@ -138,7 +136,7 @@
 void Directory::apply(const json& event, bool first) {
   const json& news = event.at("endpoints");
   const bool whole = optional_field(news, "snapshot", false) || first;
-  std::vector<quillgap::EngineEntry> entries;
+  std::vector<EngineEntry> entries;
   std::vector<EngineChange> changes;
   std::set<int> named;
   for (const json& row : news.at("endpoints")) {
--- a/src/net/directory.h
+++ b/src/net/directory.h
@@ -23,7 +23,7 @@
 
  private:
   struct Row {
-    quillgap::EngineEntry entry;
+    EngineEntry entry;
     EngineChange change;
   };
   void run(boost::system::error_code error = {}, std::size_t count = 0);
--- a/src/net/engine_line.cpp
+++ b/src/net/engine_line.cpp
@@ -23,7 +23,7 @@
 }
 
 // A report's values under the sockets' names for them, or those of the settings.
-bool read_report(std::string_view text, quillgap::LoadReport& report) {
+bool read_report(std::string_view text, LoadReport& report) {
   while (!text.empty()) {
     std::string_view pair = cut(text, ';');
     const std::string_view name = cut(pair, ':');
--- a/src/net/engine_line.h
+++ b/src/net/engine_line.h
@@ -21,7 +21,7 @@
   std::int64_t position{-1};  // BLOCK: the page's number
   std::string_view why;       // EVENT: the kind of note ...
   double reading{};           // ... and what it says
-  quillgap::LoadReport report;
+  LoadReport report;
 };
 
 enum class Parsed { kWhole, kMore, kBad };
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -9,8 +9,6 @@
 namespace steprail {
 
 using boost::system::error_code;
-using quillgap::Outcome;
-using quillgap::Standing;
 
 namespace {
 constexpr Micros kSweep{500'000};
@@ -182,7 +180,7 @@
     std::vector<bool> have;
     std::size_t missing{};
     std::size_t bytes{};
-    quillgap::LoadReport report;
+    LoadReport report;
   };
 
   // A connection that carries nothing, as a part of the time after which engines close it.
@@ -214,15 +212,15 @@
     slot.have.clear();
   }
 
-  void end(RequestId id, const Slot& slot, Outcome outcome, const quillgap::LoadReport& report,
+  void end(RequestId id, const Slot& slot, Outcome outcome, const LoadReport& report,
            std::vector<std::string> pages) {
     pool_.where_.erase(id);
     pool_.coordinator_.attempt_ended({id, slot.attempt, outcome, report, std::move(pages)});
   }
 
-  // The attempt's end in the engine's own words.
-  void finished(std::unordered_map<RequestId, Slot>::iterator at, Outcome outcome,
-                const quillgap::LoadReport& report) {
+  // The attempt's end in the engine's own words. The report is a copy: it may stand in the slot that goes
+  // here.
+  void finished(std::unordered_map<RequestId, Slot>::iterator at, Outcome outcome, const LoadReport& report) {
     const RequestId id = at->first;
     Slot slot = std::move(at->second);
     slots_.erase(at);
@@ -233,7 +231,7 @@
         outcome == Outcome::kDelivered ? std::move(slot.pages) : std::vector<std::string>{});
   }
 
-  void probe_ended(std::uint64_t number, bool delivered, const quillgap::LoadReport& report) {
+  void probe_ended(std::uint64_t number, bool delivered, const LoadReport& report) {
     const auto at = probes_.find(number);
     if (at == probes_.end()) return;
     const Micros delay = pool_.coordinator_.now() - at->second;
@@ -289,8 +287,7 @@
   }
 
   void note(RequestId id, const Slot& slot, const EngineAnswer& answer) {
-    using quillgap::Topic;
-    quillgap::Note note{id, slot.attempt, engine_, Topic::kProgress, answer.reading};
+    Note note{id, slot.attempt, engine_, Topic::kProgress, answer.reading};
     if (answer.why == "overflow") {
       note.topic = Topic::kSpills;
     } else if (answer.why == "queued") {
--- a/src/net/engine_pool.h
+++ b/src/net/engine_pool.h
@@ -41,7 +41,7 @@
   struct Engine {
     std::string name, address;
     std::optional<tcp::endpoint> endpoint;
-    quillgap::Standing standing{quillgap::Standing::kGone};
+    Standing standing{Standing::kGone};
     Micros came_up{0};
     std::vector<std::shared_ptr<Line>> lines;
   };
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -195,8 +195,8 @@
 
 #include <boost/asio/unyield.hpp>
 
-ThriftFront::ThriftFront(Strand strand, Coordinator& coordinator, EventLog& log,
-                         const quillgap::Settings& settings, const Tables& tables, Limits limits)
+ThriftFront::ThriftFront(Strand strand, Coordinator& coordinator, EventLog& log, const Settings& settings,
+                         const Tables& tables, Limits limits)
     : strand_(strand),
       coordinator_(coordinator),
       log_(log),
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -20,7 +20,7 @@
     std::size_t calls{32};   // open at a time on one connection
   };
 
-  ThriftFront(Strand strand, Coordinator& coordinator, EventLog& log, const quillgap::Settings& settings,
+  ThriftFront(Strand strand, Coordinator& coordinator, EventLog& log, const Settings& settings,
               const Tables& tables, Limits limits);
   ~ThriftFront() override;
 
@@ -44,7 +44,7 @@
   Strand strand_;
   Coordinator& coordinator_;
   EventLog& log_;
-  const quillgap::Settings& settings_;
+  const Settings& settings_;
   const Tables& tables_;
   Limits limits_;
   tcp::acceptor acceptor_;
--- a/src/net/thrift.cpp
+++ b/src/net/thrift.cpp
@@ -1,6 +1,6 @@
 #include "net/thrift.h"
 
-namespace steprail::thrift {
+namespace thrift {
 namespace {
 
 constexpr std::uint32_t kVersion = 0x80010000, kVersionMask = 0xffff0000;
@@ -204,4 +204,4 @@
   return out.field(Type::kI32, 2).number(static_cast<std::uint32_t>(fault), 4).stop().frame();
 }
 
-}  // namespace steprail::thrift
+}  // namespace thrift
--- a/src/net/thrift.h
+++ b/src/net/thrift.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace steprail::thrift {
+namespace thrift {
 
 enum class Type : std::uint8_t {
   kStop = 0,
@@ -70,4 +70,4 @@
 std::string application_exception(std::int32_t call, std::string_view method, Fault fault,
                                   std::string_view text);
 
-}  // namespace steprail::thrift
+}  // namespace thrift
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,13 +2,13 @@
 #include <stdexcept>
 #include <string>
 
-#include "quillgap/gateway.h"
+#include "steprail/gateway.h"
 
-namespace quillgap {
+namespace steprail {
 namespace {
 
 void require(bool good, const std::string& field, const std::string& why) {
-  if (!good) throw std::invalid_argument("quillgap settings: " + field + " " + why);
+  if (!good) throw std::invalid_argument("steprail settings: " + field + " " + why);
 }
 
 void not_negative(double value, const std::string& field) {
@@ -80,4 +80,4 @@
   not_negative(s.settle_after_doubt, "settle_after_doubt");
 }
 
-}  // namespace quillgap
+}  // namespace steprail
--- a/src/settings_json.cpp
+++ b/src/settings_json.cpp
@@ -5,7 +5,6 @@
 namespace steprail {
 
 using nlohmann::json;
-using namespace quillgap;
 
 namespace {
 
--- a/src/settings_json.h
+++ b/src/settings_json.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "quillgap/gateway.h"
+#include "steprail/gateway.h"
 
 namespace steprail {
 
@@ -56,13 +56,13 @@
   return present(from, field) ? from.at(field).get<T>() : otherwise;
 }
 
-quillgap::Micros micros(const nlohmann::json& from, const char* field);
+Micros micros(const nlohmann::json& from, const char* field);
 
 struct Tables {
   Names classes, tenants, zones, kinds, engines;
 };
 
 // Throws where a field that must be there is not, or a name is unknown. Unknown fields are passed over.
-quillgap::Settings read_settings(const nlohmann::json& params, Tables& tables);
+Settings read_settings(const nlohmann::json& params, Tables& tables);
 
 }  // namespace steprail
--- a/src/wirehost.cpp
+++ b/src/wirehost.cpp
@@ -6,13 +6,12 @@
 #include <string>
 #include <unordered_map>
 
-#include "quillgap/gateway.h"
 #include "settings_json.h"
+#include "steprail/gateway.h"
 
 namespace {
 
 using nlohmann::json;
-using namespace quillgap;
 using namespace steprail;
 
 const std::map<std::string, Standing> kStandings = {
--- a/tests/consumer.cmake
+++ b/tests/consumer.cmake
@@ -14,4 +14,4 @@
 run(${CMAKE_COMMAND} -S ${SOURCE}/examples -B ${WORK}/build -DCMAKE_PREFIX_PATH=${WORK}/prefix
     -DCMAKE_CXX_FLAGS=${flags})
 run(${CMAKE_COMMAND} --build ${WORK}/build)
-run(${WORK}/build/quillgap_example)
+run(${WORK}/build/steprail_example)
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -4,7 +4,7 @@
 
 #include "harness.h"
 
-namespace quillgap::testing {
+namespace steprail::testing {
 namespace {
 
 // Four fifths of one mean aim over all cores, split by gateways: (800*3 + 2000 + 2000) / 3 * 8 * 0.8 = 13653.
@@ -287,4 +287,4 @@
 }
 
 }  // namespace
-}  // namespace quillgap::testing
+}  // namespace steprail::testing
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -6,9 +6,9 @@
 #include <map>
 #include <vector>
 
-#include "quillgap/gateway.h"
+#include "steprail/gateway.h"
 
-namespace quillgap::testing {
+namespace steprail::testing {
 
 using namespace std::chrono_literals;
 
@@ -131,4 +131,4 @@
   std::map<RequestId, int> attempts, at;
 };
 
-}  // namespace quillgap::testing
+}  // namespace steprail::testing
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,7 +1,7 @@
 // The seven rules, kept and at their edge.
 #include "harness.h"
 
-namespace quillgap::testing {
+namespace steprail::testing {
 namespace {
 
 TEST(Lost, TheDeadlinesOwnTimeOutIsAnsweredAtOnce) {
@@ -210,4 +210,4 @@
 }
 
 }  // namespace
-}  // namespace quillgap::testing
+}  // namespace steprail::testing
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -4,7 +4,7 @@
 
 #include "harness.h"
 
-namespace quillgap::testing {
+namespace steprail::testing {
 namespace {
 
 Settings crowded(int gateways, int own = 0) {
@@ -256,4 +256,4 @@
 }
 
 }  // namespace
-}  // namespace quillgap::testing
+}  // namespace steprail::testing
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -3,7 +3,7 @@
 
 #include "harness.h"
 
-namespace quillgap::testing {
+namespace steprail::testing {
 namespace {
 
 struct Fault {
@@ -49,4 +49,4 @@
                       Fault{"fall_after", [](Settings& s) { s.fall_after = -1us; }}));
 
 }  // namespace
-}  // namespace quillgap::testing
+}  // namespace steprail::testing
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -26,7 +26,7 @@
 }
 
 Played play(const std::string& input) {
-  char path[] = "/tmp/quillgap-wire-XXXXXX";
+  char path[] = "/tmp/steprail-wire-XXXXXX";
   const std::string dir = mkdtemp(path);
   std::ofstream(dir + "/in") << input;
   const std::string command =
