Copy an attempt's load report before its slot goes

Seen: the sanitized stories stopped in Line::end with a use after free. finished() was handed a reference to the report inside the slot that it erases (engine_pool.cpp); the report of a result with pages was read from freed memory.

--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -220,7 +220,7 @@
 
   // The attempt's end in the engine's own words. The report is a copy: it may stand in the slot that goes
   // here.
-  void finished(std::unordered_map<RequestId, Slot>::iterator at, Outcome outcome, const LoadReport& report) {
+  void finished(std::unordered_map<RequestId, Slot>::iterator at, Outcome outcome, LoadReport report) {
     const RequestId id = at->first;
     Slot slot = std::move(at->second);
     slots_.erase(at);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -412,7 +412,8 @@
   std::size_t used = 0;
   for (std::size_t i = 0; i < whole.size(); ++i)
     CHECK(parse_answer(whole.substr(0, i), answer, used) == Parsed::kMore);
-  REQUIRE(parse_answer(whole + "next", answer, used) == Parsed::kWhole);
+  const std::string more = whole + "next";
+  REQUIRE(parse_answer(more, answer, used) == Parsed::kWhole);
   CHECK(used == whole.size());
   CHECK(answer.body == "a\r\n");
   CHECK(answer.count == 2);
