Read the configuration again at SIGHUP and follow the directory where it now is

A file that cannot be used is logged and the old address kept; the list goes on from the last event and open requests are not touched. directory.cpp left a silent stream only after 3.5 s and a pause, where its news counts as told after 4 s: now after 2.2 s (a line comes every second), and a connect gets 1 s of that.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -52,7 +52,9 @@
   std::ifstream file(path);
   if (!file) throw std::runtime_error("configuration " + path + " cannot be opened");
   try {
-    return decode(json::parse(file));
+    Config config = decode(json::parse(file));
+    config.path = path;
+    return config;
   } catch (const std::exception& fault) {
     throw std::runtime_error("configuration " + path + " cannot be used: " + fault.what());
   }
--- a/src/config.h
+++ b/src/config.h
@@ -12,6 +12,7 @@
 namespace steprail {
 
 struct Config {
+  std::string path;  // the file it came from, to be read again at SIGHUP
   std::string name;
   tcp::endpoint listen, directory;
   std::uint64_t seed{};
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -11,8 +11,11 @@
 using nlohmann::json;
 
 namespace {
-constexpr std::chrono::milliseconds kSilenceMost{3500};  // a line comes every second
-constexpr std::chrono::milliseconds kPause{200};         // between connections
+// A line comes every second, and what a silent directory would have told counts as told 4 s after it stopped:
+// two lines missed are enough to ask again.
+constexpr std::chrono::milliseconds kSilenceMost{2200};
+constexpr std::chrono::milliseconds kConnectMost{1000};
+constexpr std::chrono::milliseconds kPause{200};  // between connections
 constexpr std::size_t kLongestLine = 4 << 20;
 
 const std::map<std::string, Standing> kStates = {
@@ -39,6 +42,7 @@
   ++life_;
   state_ = {};
   in_ = {};
+  hello_.clear();
   socket_ = tcp::socket(strand_);
   run();
 }
@@ -51,7 +55,7 @@
     if (life == life_) run(e, n);
   };
   // A cut-off machine says nothing at all, not even that it is cut off.
-  silence_.expires_after(kSilenceMost);
+  silence_.expires_after(hello_.empty() ? kConnectMost : kSilenceMost);
   silence_.async_wait([this, life = life_](error_code e) {
     if (!e && life == life_) again("silent");
   });
@@ -82,6 +86,16 @@
   });
 }
 
+void Directory::move_to(const tcp::endpoint& source) {
+  if (source == source_) return;
+  source_ = source;
+  log_.line("directory moves to " + source.address().to_string() + ':' + std::to_string(source.port()));
+  error_code ignored;
+  socket_.close(ignored);
+  pause_.cancel();
+  follow();
+}
+
 bool Directory::take_lines() {
   for (;;) {
     const std::string_view bytes = in_.view();
--- a/src/net/directory.h
+++ b/src/net/directory.h
@@ -20,6 +20,8 @@
   // The events of the start, as the configuration holds them. Throws on what cannot be read.
   void load(const nlohmann::json& known);
   void follow();
+  // The directory has another address now; what it had told before still holds.
+  void move_to(const tcp::endpoint& source);
 
  private:
   struct Row {
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -27,9 +27,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
-  signals_.async_wait([this](boost::system::error_code error, int) {
-    if (!error) stop();
-  });
+  signals_.add(SIGHUP);
+  await_signal();
   coordinator_.start();
   directory_.load(config_.known);
   directory_.follow();
@@ -38,6 +37,26 @@
   log_.line("serving as " + config_.name);
 }
 
+void Server::await_signal() {
+  signals_.async_wait([this](boost::system::error_code error, int number) {
+    if (error) return;
+    number == SIGHUP ? reload() : stop();
+    await_signal();
+  });
+}
+
+// Only the directory's address can change under way: what else the file says takes a restart. A file that
+// cannot be used changes nothing.
+void Server::reload() {
+  try {
+    const Config fresh = read_config(config_.path);
+    log_.line("configuration read again");
+    directory_.move_to(fresh.directory);
+  } catch (const std::exception& fault) {
+    log_.line(std::string("configuration kept as it was: ") + fault.what());
+  }
+}
+
 // Clients hold a third of the descriptors at most; with the close of one and the start of the next crossing,
 // they are given a little more than that. The engines share what is left.
 std::size_t Server::client_limit() const { return std::max<std::size_t>(1, config_.sockets * 2 / 5); }
@@ -50,6 +69,7 @@
 }
 
 void Server::stop() {
+  if (std::exchange(stopping_, true)) return;
   log_.line("stopping, " + std::to_string(coordinator_.unanswered()) + " requests open");
   front_.set_ready(false);
   grace_.expires_after(kGrace);
--- a/src/server.h
+++ b/src/server.h
@@ -19,6 +19,8 @@
   void start();
   // As at SIGTERM: what was taken is answered, then the loop ends.
   void stop();
+  // As at SIGHUP: reads the configuration's file again and follows the directory at the address it names.
+  void reload();
   boost::asio::io_context& io() { return io_; }
   tcp::endpoint endpoint() const { return endpoint_; }
   std::uint64_t broken_invariants() const { return log_.broken_count(); }
@@ -27,6 +29,7 @@
   std::size_t client_limit() const;
   EnginePool::Limits engine_limits() const;
   void leave();
+  void await_signal();
 
   Config config_;
   EventLog log_;
@@ -39,6 +42,7 @@
   ThriftFront front_;
   Directory directory_;
   tcp::endpoint endpoint_;
+  bool stopping_{false};
 };
 
 }  // namespace steprail
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <fstream>
 #include <functional>
 
@@ -120,14 +121,22 @@
             {"profiles", {cls("lookup", "repeatable"), cls("load", "once")}}}}};
 }
 
-Config decoded(const json& from) {
-  char path[] = "/tmp/steprail-config-XXXXXX";
-  close(mkstemp(path));
-  std::ofstream(path) << from.dump();
-  const auto remove =
-      std::unique_ptr<const char, void (*)(const char*)>(path, [](const char* p) { std::remove(p); });
-  return read_config(path);
-}
+// A configuration's file, for as long as its story lasts.
+class ConfigFile {
+ public:
+  explicit ConfigFile(const json& from) {
+    close(mkstemp(path_.data()));
+    write(from.dump());
+  }
+  ~ConfigFile() { std::remove(path_.c_str()); }
+  ConfigFile(const ConfigFile&) = delete;
+  ConfigFile& operator=(const ConfigFile&) = delete;
+  void write(const std::string& text) const { std::ofstream(path_) << text; }
+  Config read() const { return read_config(path_); }
+
+ private:
+  std::string path_{"/tmp/steprail-config-XXXXXX"};
+};
 
 std::string number(std::uint32_t value, int bytes = 4) {
   std::string out;
@@ -173,9 +182,10 @@
       engines.push_back(std::make_unique<Listener>(io));
       rows.push_back(row(static_cast<int>(i), address(engines[i]->acceptor)));
     }
-    json from = config(address(directory.acceptor), rows);
+    from = config(address(directory.acceptor), rows);
     change(from);
-    server = std::make_unique<Server>(decoded(from));
+    file = std::make_unique<ConfigFile>(from);
+    server = std::make_unique<Server>(file->read());
     server->start();
   }
   ~World() { CHECK(server->broken_invariants() == 0); }
@@ -212,6 +222,8 @@
 
   asio::io_context io;
   Listener directory;
+  json from;
+  std::unique_ptr<ConfigFile> file;
   std::vector<std::unique_ptr<Listener>> engines;
   std::unique_ptr<Server> server;
 };
@@ -405,6 +417,36 @@
   w.until([&] { return w.server->io().stopped(); });
 }
 
+// Guards against a program that SIGHUP ends, and against news that is missed because the directory has moved.
+TEST_CASE("at SIGHUP the directory is followed at its new address, and open requests go on") {
+  World w(1);
+  Listener moved(w.io);
+  const auto client = w.client();
+  client->write(query(1, kId));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId) && w.directory.has(0, "follow 1\n"); });
+  w.file->write("{ no configuration");
+  raise(SIGHUP);
+  client->write(kCheck);
+  CHECK(w.answer(*client).call == 50);
+  json from = w.from;
+  from["coordinator"] = address(moved.acceptor);
+  w.file->write(from.dump());
+  raise(SIGHUP);
+  w.until([&] { return moved.has(0, "follow 1\n"); });
+  CHECK((w.directory.peer(0)->read(), w.directory.peer(0)->ended()));
+  w.engines[0]->peer(0)->write(ack(kId, "x\t\t\n"));
+  CHECK(w.answer(*client).field == 0);
+}
+
+// Guards against drains heard of too late: a directory that stops without closing says nothing of it.
+TEST_CASE("a silent directory is asked again within 4 s of its last word") {
+  World w(1);
+  w.until([&] { return w.directory.has(0, "follow 1\n"); });
+  const auto from = std::chrono::steady_clock::now();
+  w.until([&] { return w.directory.has(1, "follow 1\n"); });
+  CHECK(std::chrono::steady_clock::now() - from < std::chrono::milliseconds(3200));
+}
+
 // Guards against an answer that is cut by the reads, at whatever byte.
 TEST_CASE("an engine's answer is read once it is whole, and not before") {
   const std::string whole = kId + " ACK count=2,rep=util:0.61;inflight:7 3\r\na\r\n\r\n";
@@ -439,7 +481,7 @@
     json bad = good;
     bad.erase(field);
     try {
-      decoded(bad);
+      ConfigFile(bad).read();
       FAIL("was accepted without " << field);
     } catch (const std::exception& fault) {
       CHECK(std::string(fault.what()).find('\n') == std::string::npos);
