Close mute and idle client connections, and make room when all places are taken

Ruled out: memory (1 MB of 32), processor, the engines (0.4 attempts a request at the end). Now a first or cut frame has 2 s, idleness 6 s, and when all places are taken the connection goes that is missed least, never one with a request open. Long frames and unread answers come out of one store, an eighth of the memory.

--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -30,6 +30,12 @@
     return boost::asio::buffer(bytes_.data() + end_, bytes_.size() - end_);
   }
   void filled(std::size_t count) { end_ += count; }
+  std::size_t capacity() const { return bytes_.size(); }
+  // What one long message needed is given back once nothing is left to parse.
+  void shrink() {
+    constexpr std::size_t kKept = 16 << 10;
+    if (begin_ == end_ && bytes_.size() > kKept) *this = {};
+  }
 
  private:
   std::vector<char> bytes_;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -13,9 +13,18 @@
 using boost::system::error_code;
 
 namespace {
-constexpr std::int64_t kLongestFrame = 1 << 20;
-constexpr std::size_t kUnreadMost = 4 << 20;  // answers that a client leaves unread, before it is cut off
+constexpr std::int64_t kLongestFrame = 256 << 10;
+constexpr std::size_t kSmallFrame = 32 << 10;  // what any session may hold; more of it comes out of one store
+constexpr std::size_t kUnreadMost = 2 << 20;  // answers that a client leaves unread: more than 32 of the longest
 constexpr std::chrono::milliseconds kAcceptPause{50};
+constexpr std::chrono::milliseconds kSweep{250};
+// A client that connects does so to ask at once. One that has not said a whole thing by then never will, and
+// is owed its close soon.
+constexpr Micros kFrameMost{2'000'000};
+// Clients close what has been idle for 4 s by themselves: what stays for longer only holds a descriptor.
+constexpr Micros kIdleMost{6'000'000};
+constexpr Micros kJustCame{250'000};      // its first request may still be on the way
+constexpr Micros kUnreadWait{5'000'000};  // for a client that reads nothing
 }  // namespace
 
 #include <boost/asio/yield.hpp>
@@ -23,7 +32,9 @@
 class ThriftFront::Session : public std::enable_shared_from_this<Session>, boost::asio::coroutine {
  public:
   Session(ThriftFront& front, tcp::socket socket, std::uint64_t number)
-      : front_(front), socket_(std::move(socket)), number_(number) {}
+      : front_(front), socket_(std::move(socket)), number_(number) {
+    since_ = front_.coordinator_.now();
+  }
 
   void read(error_code error = {}, std::size_t count = 0) {
     if (closed_) return;
@@ -34,13 +45,38 @@
             in_.room(), [self = shared_from_this()](error_code e, std::size_t n) { self->read(e, n); });
         in_.filled(count);
         if (!take_frames()) return;
+        in_.shrink();
+        if (in_.capacity() > kSmallFrame && front_.over_store()) return close("no room for a frame so long");
       }
     }
   }
 
   void push(std::string piece) { out_.push(std::move(piece)); }
-  void done(std::int32_t call) { open_.erase(call); }
+  void done(std::int32_t call) {
+    open_.erase(call);
+    if (!partial_) since_ = front_.coordinator_.now();
+  }
   bool quiet() const { return out_.empty(); }
+  // Bytes held beyond what every session may hold.
+  std::size_t stored() const {
+    return (in_.capacity() > kSmallFrame ? in_.capacity() : 0) + out_.size();
+  }
+
+  // For how long the client has done nothing that it would be missed for, in the order in which connections
+  // are closed when there are too many: first those that never asked. Nothing where a request is open.
+  std::optional<std::pair<bool, Micros>> spare(Micros now) const {
+    if (!open_.empty() || !out_.empty()) return std::nullopt;
+    // A request may be here that this turn has not come to yet.
+    error_code error;
+    if (socket_.available(error) > 0) return std::nullopt;
+    return std::pair{!asked_ && now - since_ > kJustCame, now - since_};
+  }
+
+  void sweep(Micros now) {
+    if (waiting_ && now - stuck_ > kUnreadWait) return close("leaves its answers unread");
+    if (!open_.empty()) return;
+    if (now - since_ > (asked_ && !partial_ ? kIdleMost : kFrameMost)) close(asked_ ? nullptr : "never asks");
+  }
 
   void mark() {
     if (std::exchange(dirty_, true)) return;
@@ -55,7 +91,8 @@
       const std::size_t count = socket_.write_some(out_.gather(), error);
       out_.sent(count);
       if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
-        if (out_.size() > kUnreadMost) return close("leaves its answers unread");
+        if (out_.size() > kUnreadMost || front_.over_store()) return close("leaves its answers unread");
+        stuck_ = front_.coordinator_.now();
         waiting_ = true;
         socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code e) {
           self->waiting_ = false;
@@ -82,17 +119,26 @@
   bool take_frames() {
     for (;;) {
       const std::string_view bytes = in_.view();
-      if (bytes.size() < thrift::kFrameHead) return true;
+      if (bytes.size() < thrift::kFrameHead) return begun(!bytes.empty());
       const std::int64_t length = thrift::frame_length(bytes);
       if (length < 0 || length > kLongestFrame) return close("frame of a length that none may have"), false;
       const auto whole = thrift::kFrameHead + static_cast<std::size_t>(length);
-      if (bytes.size() < whole) return true;
+      if (bytes.size() < whole) return begun(true);
       if (!take(bytes.substr(thrift::kFrameHead, static_cast<std::size_t>(length))))
         return close("frame that cannot be read"), false;
       in_.consume(whole);
+      asked_ = true;
+      partial_ = false;
+      since_ = front_.coordinator_.now();
     }
   }
 
+  // A frame has its time from its first byte on, however slowly the others follow.
+  bool begun(bool partial) {
+    if (partial && !std::exchange(partial_, true) && asked_) since_ = front_.coordinator_.now();
+    return true;
+  }
+
   // One message; false if it is none.
   bool take(std::string_view frame) {
     thrift::Reader reader(frame);
@@ -191,6 +237,9 @@
   OutQueue out_;
   std::unordered_map<std::int32_t, RequestId> open_;
   bool dirty_{false}, waiting_{false}, closed_{false};
+  bool asked_{false}, partial_{false};  // a whole frame has come; a part of the next one has
+  Micros since_{0};                     // when it connected, last asked, was last answered or began a frame
+  Micros stuck_{0};
 };
 
 #include <boost/asio/unyield.hpp>
@@ -204,7 +253,8 @@
       tables_(tables),
       limits_(limits),
       acceptor_(strand),
-      pause_(strand) {}
+      pause_(strand),
+      sweep_(strand) {}
 
 ThriftFront::~ThriftFront() = default;
 
@@ -214,12 +264,14 @@
   acceptor_.bind(at);
   acceptor_.listen();
   accept();
+  sweep();
   return acceptor_.local_endpoint();
 }
 
-// Over the limit, clients wait in the kernel's line until a connection ends.
+// One place is always kept free for who comes next. Where every connection has a request open, clients wait
+// in the kernel's line until one has not.
 void ThriftFront::accept() {
-  if (accepting_ || sessions_.size() >= limits_.sessions) return;
+  if (accepting_ || (sessions_.size() >= limits_.sessions && !make_room())) return;
   accepting_ = true;
   acceptor_.async_accept(strand_, [this](error_code error, tcp::socket socket) {
     accepting_ = false;
@@ -249,6 +301,40 @@
   accept();
 }
 
+bool ThriftFront::make_room() {
+  const Micros now = coordinator_.now();
+  std::shared_ptr<Session> least;
+  std::pair<bool, Micros> most{};
+  for (const auto& [_, session] : sessions_) {
+    const auto spare = session->spare(now);
+    if (spare && (!least || *spare > most)) least = session, most = *spare;
+  }
+  if (!least) return false;
+  accepting_ = true;  // its end is no reason to accept: this is
+  least->close(nullptr);
+  accepting_ = false;
+  return true;
+}
+
+// What clients have not read and what of their frames is here, together, is bounded as well.
+bool ThriftFront::over_store() const {
+  std::size_t bytes = 0;
+  for (const auto& [_, session] : sessions_) bytes += session->stored();
+  return bytes > limits_.store;
+}
+
+void ThriftFront::sweep() {
+  sweep_.expires_after(kSweep);
+  sweep_.async_wait([this](error_code error) {
+    if (error) return;
+    const Micros now = coordinator_.now();
+    const auto sessions = sessions_;
+    for (const auto& [_, session] : sessions) session->sweep(now);
+    accept();
+    sweep();
+  });
+}
+
 bool ThriftFront::written_out() const {
   for (const auto& [_, session] : sessions_) {
     if (!session->quiet()) return false;
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -17,6 +17,7 @@
  public:
   struct Limits {
     std::size_t sessions{};  // connections at a time
+    std::size_t store{};     // bytes of long frames and unread answers, of all connections together
     std::size_t calls{32};   // open at a time on one connection
   };
 
@@ -40,6 +41,9 @@
   class Session;
   void accept();
   void ended(std::uint64_t session);
+  bool make_room();
+  bool over_store() const;
+  void sweep();
 
   Strand strand_;
   Coordinator& coordinator_;
@@ -48,7 +52,7 @@
   const Tables& tables_;
   Limits limits_;
   tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
+  boost::asio::steady_timer pause_, sweep_;
   bool accepting_{false}, ready_{false}, refusing_{false};
   std::uint64_t last_session_{0};
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> sessions_;
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -8,6 +8,7 @@
 // After SIGTERM new connections come for 0.4 s at most, and requests on open ones for 0.2 s more.
 constexpr std::chrono::milliseconds kGrace{700};
 constexpr std::chrono::milliseconds kDrainLook{10};
+constexpr std::size_t kStorePart = 8;  // of the memory may be held for slow clients
 constexpr std::size_t kOwnDescriptors = 24;  // log, epoll, timers, signals, listener, directory
 }  // namespace
 
@@ -18,7 +19,8 @@
       grace_(strand_),
       coordinator_(strand_, log_, config_.seed, config_.settings),
       engines_(strand_, coordinator_, log_, engine_limits()),
-      front_(strand_, coordinator_, log_, config_.settings, config_.tables, {client_limit()}),
+      front_(strand_, coordinator_, log_, config_.settings, config_.tables,
+             {client_limit(), (config_.memory_mb << 20) / kStorePart}),
       directory_(strand_, coordinator_, log_, config_.tables, config_.directory) {
   coordinator_.attach(front_, engines_);
 }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -355,6 +355,34 @@
   CHECK(told.rest.substr(told.rest.size() - 3, 1) == std::string(1, '\1'));
 }
 
+// Guards against clients that hold connections and ask nothing: good ones would wait behind them for good.
+TEST_CASE("mute connections keep nobody out, and none with a request open is closed for them") {
+  World w(1, [](json& from) { from["limits"]["sockets"] = 64; });
+  const auto waiting = w.client();
+  waiting->write(query(1, kId));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId); });
+  std::vector<std::unique_ptr<Peer>> mute;
+  for (int i = 0; i < 100; ++i) mute.push_back(w.client());
+  const auto good = w.client();
+  good->write(kCheck);
+  CHECK(w.answer(*good).call == 50);
+  w.engines[0]->peer(0)->write(ack(kId, "x\t\t\n"));
+  CHECK(w.answer(*waiting).field == 0);
+}
+
+// Guards against descriptors held for good by clients that say nothing, half a thing, or once something.
+TEST_CASE("a connection is closed that is mute, stops within a frame, or stays idle") {
+  World w(1);
+  const auto mute = w.client();
+  const auto half = w.client();
+  half->write(kCheck.substr(0, 9));
+  const auto keeper = w.client();
+  keeper->write(kCheck);
+  CHECK(w.answer(*keeper).call == 50);
+  for (const auto& client : {mute.get(), half.get(), keeper.get()})
+    w.until([&] { return client->read(), client->ended(); });
+}
+
 // Guards against silence, or a closed connection, where a request can be read but not used.
 TEST_CASE("what cannot be used is answered failed, an unknown method with an exception") {
   World w(1);
