Give each attempt a connection of its own, and end one for a spoilt answer alone

Now: an idle connection, else a new one, and sharing only when the descriptors are used up; an answer has 0.5 s from its first byte, a page 1.5 s; bounds are the protocol's (6,000 and 48,000 bytes); AGAIN behind an ACK proves nothing. Ruled out: connection costs (handshakes are a hundredth of a lookup's work).

--- a/src/net/engine_line.cpp
+++ b/src/net/engine_line.cpp
@@ -6,8 +6,8 @@
 namespace steprail {
 namespace {
 
-constexpr std::size_t kLongestLine = 4096;
-constexpr std::int64_t kLongestBody = 64 * 1024;  // a page is a tenth of that
+constexpr std::size_t kLongestLine = 1024;
+constexpr std::int64_t kLongestBody = 6000;  // of a page
 constexpr std::string_view kEnd = "\r\n";
 
 constexpr std::pair<std::string_view, Word> kWords[] = {
@@ -106,6 +106,18 @@
   return Parsed::kWhole;
 }
 
+bool whole_rows(std::string_view page) {
+  constexpr int kTabs = 2;  // of three columns
+  int tabs = 0;
+  for (const char c : page) {
+    if (c == '\t') ++tabs;
+    if (c != '\n') continue;
+    if (tabs != kTabs) return false;
+    tabs = 0;
+  }
+  return page.empty() || page.back() == '\n';
+}
+
 std::string serve_command(const Dispatch& dispatch) {
   const Query& query = dispatch.query;
   const auto ttl = std::max<std::int64_t>(1, dispatch.patience.count() / 1000);
--- a/src/net/engine_line.h
+++ b/src/net/engine_line.h
@@ -32,6 +32,9 @@
 std::optional<double> parse_number(std::string_view text);
 std::optional<std::int64_t> parse_count(std::string_view text);  // zero or more
 
+// A page holds whole rows: three columns with a tab between them, and a line feed behind each row.
+bool whole_rows(std::string_view page);
+
 std::string serve_command(const Dispatch& dispatch);
 
 }  // namespace steprail
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -11,11 +11,15 @@
 using boost::system::error_code;
 
 namespace {
-constexpr Micros kSweep{500'000};
+constexpr Micros kSweep{100'000};
+// An answer whose first byte is here has been sent: the rest is a matter of milliseconds. A page comes when it
+// is asked for, at once. What stays away for so long does not come.
+constexpr Micros kAnswerMost{500'000};
+constexpr Micros kPagesWait{1'500'000};
 constexpr Micros kProbePatience{1'000'000};
 constexpr double kIdlePart = 0.7;  // of the idle time, after which a connection is not used again
 constexpr std::int64_t kPagesMost = 1024;
-constexpr std::size_t kResultMost = 1 << 20;
+constexpr std::size_t kResultMost = 48'000;
 constexpr std::size_t kUnsentMost = 4 << 20;  // commands that an engine does not read
 }  // namespace
 
@@ -57,7 +61,8 @@
       for (;;) {
         yield socket_.async_read_some(in_.room(), next);
         in_.filled(count);
-        if (!take_answers()) return close("unreadable answer");
+        if (!take_answers()) return spoilt("unreadable answer");
+        in_.shrink();
       }
     }
   }
@@ -67,6 +72,7 @@
     if (idle_for() > kIdlePart) return false;
     return !id || !slots_.contains(*id);
   }
+  Micros used() const { return used_; }
   bool idle() const { return live_ == 0 && probes_.empty(); }
   std::size_t live() const { return live_; }
   Micros opened() const { return opened_; }
@@ -143,7 +149,18 @@
     for (const std::uint64_t number : late) probe_ended(number, false, {});
     std::erase_if(slots_,
                   [&](const auto& entry) { return entry.second.abandoned && now > entry.second.deadline; });
-    if (idle() && up_ && idle_for() > kIdlePart) close({});
+    if (idle() && up_ && idle_for() > kIdlePart) return close({});
+    if (partial_since_.count() > 0 && now - partial_since_ > kAnswerMost) return spoilt("cut answer");
+    for (const auto& [_, slot] : slots_) {
+      if (!slot.abandoned && slot.missing > 0 && now - slot.moved > kPagesWait) return spoilt("no page in time");
+    }
+  }
+
+  // The peer broke the protocol, or off within an answer: nothing that follows on this connection can be
+  // trusted. The engine was there to answer all the same, so that this is no sign of its health.
+  void spoilt(const std::string& reason) {
+    spoilt_ = true;
+    close(reason);
   }
 
   // With a reason: worth a line in the log. Attempts on it end here.
@@ -162,7 +179,8 @@
       if (slot.abandoned) continue;
       // What the engine cannot have read whole never ran; of the rest nobody knows.
       const bool unwritten = !up_ || out_.holds(slot.tag);
-      end(id, slot, unwritten ? Outcome::kDialFailed : Outcome::kDropped, {}, {});
+      const Outcome lost = spoilt_ ? Outcome::kAppError : Outcome::kDropped;
+      end(id, slot, unwritten ? Outcome::kDialFailed : lost, {}, {});
     }
     const auto probes = std::exchange(probes_, {});
     for (const auto& [number, sent] : probes)
@@ -180,6 +198,7 @@
     std::vector<bool> have;
     std::size_t missing{};
     std::size_t bytes{};
+    Micros moved{0};  // when the last page of it came
     LoadReport report;
   };
 
@@ -245,32 +264,39 @@
     std::size_t used = 0;
     for (;;) {
       const Parsed parsed = parse_answer(in_.view(), answer, used);
-      if (parsed == Parsed::kMore) return true;
+      if (parsed == Parsed::kMore) break;
       if (parsed == Parsed::kBad || !take(answer)) return false;
       in_.consume(used);
+      partial_since_ = Micros{0};
+      if (closed_) return true;
     }
+    if (!in_.view().empty() && partial_since_.count() == 0) partial_since_ = pool_.coordinator_.now();
+    return true;
   }
 
+  // False if the answer shows that what the engine says on this connection cannot be relied on. An answer
+  // under an id that is not (or no longer) open here is readable, and no reason to lose the others.
   bool take(const EngineAnswer& answer) {
     if (answer.word == Word::kReady || answer.word == Word::kAiling) {
       constexpr std::string_view kName = "probe";
       const auto number = answer.id.substr(0, kName.size()) == kName
                               ? parse_count(answer.id.substr(kName.size()))
                               : std::nullopt;
-      if (!number) return false;
-      probe_ended(static_cast<std::uint64_t>(*number), answer.word == Word::kReady, answer.report);
+      if (number)
+        probe_ended(static_cast<std::uint64_t>(*number), answer.word == Word::kReady, answer.report);
       return true;
     }
     const auto id = parse_id(answer.id);
-    if (!id) return false;
-    const auto at = slots_.find(*id);
-    if (at == slots_.end()) return true;  // long over
+    const auto at = id ? slots_.find(*id) : slots_.end();
+    if (at == slots_.end()) return true;
     Slot& slot = at->second;
     switch (answer.word) {
       case Word::kAck:
         return acknowledged(at, answer);
       case Word::kAgain:
       case Word::kStale:
+        // What was acknowledged has run: this is no proof of the contrary.
+        if (!slot.pages.empty()) return false;
         finished(at, Outcome::kShed, answer.report);
         return true;
       case Word::kEio:
@@ -300,18 +326,20 @@
 
   bool acknowledged(std::unordered_map<RequestId, Slot>::iterator at, const EngineAnswer& answer) {
     Slot& slot = at->second;
-    const std::int64_t count = std::max<std::int64_t>(1, answer.count);
+    const std::int64_t count = answer.count;
     if (slot.abandoned) {
       slots_.erase(at);
       return true;
     }
-    if (!slot.pages.empty() || count > kPagesMost) return false;
+    if (!slot.pages.empty()) return true;  // a second copy
+    if (count < 1 || count > kPagesMost || !whole_rows(answer.body)) return false;
     slot.pages.resize(static_cast<std::size_t>(count));
     slot.have.resize(slot.pages.size());
     slot.pages[0] = answer.body;
     slot.have[0] = true;
     slot.bytes = answer.body.size();
     slot.missing = slot.pages.size() - 1;
+    slot.moved = pool_.coordinator_.now();
     slot.report = answer.report;
     if (slot.missing == 0) {
       finished(at, Outcome::kDelivered, slot.report);
@@ -330,9 +358,11 @@
     if (slot.abandoned) return true;
     const auto page = static_cast<std::size_t>(answer.position);
     if (answer.position < 1 || page >= slot.pages.size()) return false;
-    if (slot.have[page]) return true;
+    if (slot.have[page]) return true;  // a second copy
+    if (!whole_rows(answer.body)) return false;
     slot.pages[page] = answer.body;
     slot.have[page] = true;
+    slot.moved = pool_.coordinator_.now();
     slot.bytes += answer.body.size();
     if (slot.bytes > kResultMost) return false;
     if (--slot.missing == 0) finished(at, Outcome::kDelivered, slot.report);
@@ -350,8 +380,8 @@
   std::unordered_map<std::uint64_t, Micros> probes_;
   std::size_t live_{0};
   std::uint64_t last_tag_{0};
-  Micros opened_{0}, used_{0};
-  bool up_{false}, closed_{false}, dirty_{false}, waiting_{false};
+  Micros opened_{0}, used_{0}, partial_since_{0};  // the last: of an answer that is not whole yet; 0: none
+  bool up_{false}, closed_{false}, dirty_{false}, waiting_{false}, spoilt_{false};
 };
 
 #include <boost/asio/unyield.hpp>
@@ -374,6 +404,10 @@
   const auto lines = engine.lines;
   for (const auto& line : lines) {
     if (change.standing != Standing::kReady) line->take_back_unsent();
+    if (change.standing == Standing::kGone && line->idle()) {
+      line->close({});
+      continue;
+    }
     const bool dead = moved || (change.came_up > engine.came_up && line->opened() < change.came_up);
     if (dead) line->close("the engine has started anew");
   }
@@ -385,21 +419,50 @@
   engine.came_up = change.came_up;
 }
 
+// An attempt gets a connection to itself as long as there are enough of them: what spoils, cuts or resets a
+// connection then costs one attempt, and not all that share it.
 std::shared_ptr<EnginePool::Line> EnginePool::pick(int index, std::optional<RequestId> id) {
   if (index < 0 || static_cast<std::size_t>(index) >= engines_.size()) return nullptr;
   Engine& engine = engines_[static_cast<std::size_t>(index)];
   if (!engine.endpoint) return nullptr;
-  std::shared_ptr<Line> best;
+  std::shared_ptr<Line> least;
   for (const auto& line : engine.lines) {
-    if (line->can_take(id) && (!best || line->live() > best->live())) best = line;
+    if (!line->can_take(id)) continue;
+    // Of those that carry nothing the one used last: the others may then grow old and go.
+    const bool better = !least || line->live() < least->live() ||
+                        (line->live() == least->live() && line->used() > least->used());
+    if (better) least = line;
   }
-  // A busy engine may take more than its part, as long as that leaves each of the others one.
-  if (best || connections_ + engines_.size() >= limits_.connections) return best;
+  if (least && least->live() == 0) return least;
+  // A probe tells as much on a connection that carries something.
+  if (least && !id) return least;
+  if (!room_for(index)) return least;
   ++connections_;
-  best = std::make_shared<Line>(*this, index, *engine.endpoint);
-  engine.lines.push_back(best);
-  best->run();
-  return best;
+  const auto fresh = std::make_shared<Line>(*this, index, *engine.endpoint);
+  engine.lines.push_back(fresh);
+  fresh->run();
+  return fresh;
+}
+
+// A busy engine may take more than its part, as long as that leaves each of the others one. When all are
+// taken, the connection that has been idle for longest goes.
+bool EnginePool::room_for(int index) {
+  const auto number = static_cast<std::size_t>(index);
+  std::size_t owed = 0;
+  std::shared_ptr<Line> oldest;
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    const Engine& engine = engines_[i];
+    if (i != number && engine.standing == Standing::kReady && engine.lines.empty()) ++owed;
+    for (const auto& line : engine.lines) {
+      const bool spare = line->idle() && (i == number || engine.lines.size() > 1 ||
+                                          engine.standing != Standing::kReady);
+      if (spare && (!oldest || line->used() < oldest->used())) oldest = line;
+    }
+  }
+  if (engines_[number].lines.empty()) owed = 0;
+  if (connections_ + owed < limits_.connections) return true;
+  if (oldest) oldest->close({});
+  return oldest != nullptr;
 }
 
 void EnginePool::send(const Dispatch& dispatch) {
