Validate every request by the settings before it can reach the module or an engine

Read in front.cpp read_query: an unknown team, an unreadable, negative or huge cpu or mem, and a limit of any size went through to the module, whose means (cost, slack, a tenant's tokens) such figures move, and to an engine, which closes the whole connection on what it cannot read. Coordinator::unusable is the one place that checks; the front only reads. Bounds: the class's hard limit, and a hundred times what a query could use up, which no rough estimate reaches.

--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -13,6 +13,7 @@
 // is kept for the ways in and out, so that the last answer still finds its client waiting.
 constexpr Micros kWays{50'000};
 constexpr int kWaysPart = 20;
+constexpr double kSenseless = 100;  // times what a query could use up: no estimate, however rough
 constexpr Micros kLate{30'000}, kLateLines{200'000};  // what is logged, and how often
 }  // namespace
 
@@ -39,6 +40,23 @@
   boost::asio::post(strand_, [this] { turn(); });
 }
 
+const char* Coordinator::unusable(const Query& q) const {
+  if (q.cls < 0 || static_cast<std::size_t>(q.cls) >= settings_.classes.size()) return "class";
+  const auto tenants = static_cast<int>(settings_.tenants.size());
+  if (tenants > 0 && (q.tenant < 0 || q.tenant >= tenants)) return "tenant";
+  const ClassSettings& cls = settings_.classes[static_cast<std::size_t>(q.cls)];
+  if (q.limit.count() <= 0 || q.limit > cls.hard_limit + settings_.answer_slack) return "limit";
+  // Not the most that makes sense, but the least that makes none.
+  const double work_most =
+      kSenseless * static_cast<double>(cls.hard_limit.count()) / 1000 * static_cast<double>(cls.threads);
+  if (!(q.estimate_ms >= 0 && q.estimate_ms <= work_most)) return "estimate of the work";
+  double memory_most = 0;
+  for (const KindSettings& kind : settings_.kinds) memory_most = std::max(memory_most, kind.memory_mb);
+  if (!(q.memory_mb >= 0 && (memory_most <= 0 || q.memory_mb <= kSenseless * memory_most)))
+    return "estimate of the memory";
+  return q.statement.empty() ? "statement" : nullptr;
+}
+
 void Coordinator::arrived(Query query) {
   const auto [at, fresh] = open_.try_emplace(query.id);
   STEPRAIL_INVARIANT(log_, fresh);
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -23,6 +23,10 @@
   void attach(Front& front, Engines& engines);
   void start();
 
+  // Null if the query can be used as the settings stand, else what is wrong with it. The one place that
+  // validates, for every front: what passes here can do no harm to the module or to an engine.
+  const char* unusable(const Query& query) const;
+
   // What has happened. Each is gathered, and decided on in the next turn of the loop.
   void arrived(Query query);
   void client_gone(RequestId id);
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -24,6 +24,7 @@
 // Clients close what has been idle for 4 s by themselves: what stays for longer only holds a descriptor.
 constexpr Micros kIdleMost{6'000'000};
 constexpr Micros kJustCame{250'000};      // its first request may still be on the way
+constexpr std::int64_t kLimitMost = 1'000'000'000;  // ms: beyond every class's, and far from running over
 constexpr Micros kUnreadWait{5'000'000};  // for a client that reads nothing
 }  // namespace
 
@@ -169,6 +170,7 @@
 
   void execute(std::int32_t call, const thrift::Fields& fields, std::string_view body) {
     Query query;
+    query.statement = body;
     const char* fault = read_query(call, fields, query);
     if (fault != nullptr) {
       push(thrift::thrown(call, 2, {{"reason", fault}}));
@@ -178,7 +180,6 @@
       push(thrift::thrown(call, 1, {}));
       return mark();
     }
-    query.statement = body;
     query.group = table_group(body);
     open_[call] = query.id;
     front_.coordinator_.arrived(std::move(query));
@@ -188,6 +189,7 @@
   const char* read_query(std::int32_t call, const thrift::Fields& fields, Query& query) {
     std::optional<RequestId> id;
     std::optional<std::int64_t> limit;
+    std::optional<double> work = 0.0, memory = 0.0;  // need not be told
     query.cls = -1;
     for (const auto& [name, value] : fields) {
       if (name == "txn") {
@@ -203,23 +205,24 @@
       } else if (name == "second") {
         query.resent = value == "1";
       } else if (name == "cpu") {
-        query.estimate_ms = parse_number(value).value_or(0);
+        work = parse_number(value);
       } else if (name == "mem") {
-        query.memory_mb = parse_number(value).value_or(0);
+        memory = parse_number(value);
       }
     }
     if (!id) return "txn";
-    if (query.cls < 0) return "verb";
-    if (!limit || *limit == 0) return "limit";
+    if (!limit || *limit > kLimitMost) return "limit";
+    if (!work) return "cpu";
+    if (!memory) return "mem";
     if (open_.contains(call)) return "call number in use";
     if (front_.coordinator_.knows(*id)) return "txn in use";
     query.id = *id;
-    // Nobody waits longer than the settings say; a wild figure must not run over either.
-    const Micros most = front_.settings_.classes[static_cast<std::size_t>(query.cls)].hard_limit;
-    query.limit = *limit > most.count() / 1000 ? most : Micros{*limit * 1000};
+    query.estimate_ms = *work;
+    query.memory_mb = *memory;
+    query.limit = Micros{*limit * 1000};
     query.taken = front_.coordinator_.now();
     query.ticket = {number_, call};
-    return nullptr;
+    return front_.coordinator_.unusable(query);
   }
 
   void interrupt(std::int32_t call) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -400,6 +400,32 @@
   }
 }
 
+// Guards against figures that would spoil what the module learns, or end an engine's connection.
+TEST_CASE("a request out of the settings' bounds is answered failed and reaches no engine") {
+  World w(1, [](json& from) {
+    from["settings"]["customers"] = {{{"name", "acme"}, {"share", 1.0}}};
+    from["settings"]["family_info"]["ram_of_kind_mb"] = {32768.0};
+  });
+  const auto client = w.client();
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+  const Fields good = {{"txn", kId}, {"verb", "lookup"}, {"limit", "9000"},
+                       {"team", "acme"}, {"cpu", "820.0"}, {"mem", "96"}};
+  const Fields bad = {{"team", "nobody"}, {"limit", "20500"}, {"limit", "99999999999999"}, {"limit", "0"},
+                      {"cpu", "much"},    {"cpu", "-1"},      {"cpu", "1e300"},            {"cpu", "nan"},
+                      {"mem", "x"},       {"mem", "-3"},      {"mem", "1e18"}};
+  for (const auto& [name, value] : bad) {
+    Fields fields = good;
+    for (auto& [n, v] : fields)
+      if (n == name) v = value;
+    INFO(name << '=' << value);
+    client->write(execute(5, fields));
+    CHECK(w.answer(*client).field == 2);
+  }
+  client->write(execute(6, good));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId); });
+  CHECK(w.engines[0]->peer(0)->in.find("serve ") == w.engines[0]->peer(0)->in.rfind("serve "));
+}
+
 // Guards against work for a client that has gone, and an answer that nobody is owed.
 TEST_CASE("an interrupted request is cancelled at its engine and not answered") {
   World w(1);
