Move attempts whose notes stay away, and forget engines that are long gone

Read: an answer that never comes (bad peers) held its attempt for 60% of the time left, since the module's listen() looks only at whole engines; the connection was then used again. Now the module moves an attempt that has missed three notes while its engine is heard from otherwise, and the pool closes a connection silent for a second with the attempt given up on it. Read: Names, EnginePool::engines_ and the module's engines_ kept every id for good. directory.cpp now gives the number of an engine out again once it has been gone for the longest deadline and 5 s, and the module resets the place (it kept came_up, so that a new engine counted as cold). Ruled out, needs no change: one session's work per turn is what 4 KB hold, since a read takes no more at a time. Stories and module tests fail without the change.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -90,7 +90,7 @@
 
 struct Attempt {
   int engine{};
-  Micros sent{0};
+  Micros sent{0}, heard{sent};
   bool open{true}, cancelled{}, streaming{};
 };
 
@@ -431,10 +431,12 @@
   // Unexpected silence: nothing heard for far too long; where notes are promised, for several intervals.
   void listen() {
     std::map<int, int> overdue;
-    for (const auto& [id, r] : requests_) {
+    for (auto& [id, r] : requests_) {
       if (!r.out() || r.attempts.back().streaming) continue;
       const Attempt& a = r.attempts.back();
       const Engine& e = engines_[static_cast<std::size_t>(a.engine)];
+      // Notes of one attempt stay away while others come: its connection is dead, or its answer was lost.
+      if (now_ - a.heard > 3 * s_.progress && now_ - e.heard < s_.progress) move(id, r);
       const double quiet = ms(now_ - std::max(a.sent, e.heard));
       if (s_.progress.count() > 0 ? quiet > 3 * ms(s_.progress)
                                   : quiet > kOverdue * expected(r) + ms(kTick)) {
@@ -653,7 +655,7 @@
       return;
     }
     if (news.mode != ListMode::kIncremental) {
-      for (Engine& e : engines_) e.listed = false;
+      for (Engine& e : engines_) e.listed = false, e.standing = Standing::kGone;
     }
     for (const EngineEntry& entry : news.entries) {
       if (entry.engine < 0 || entry.engine >= kEnginesMost || entry.kind < 0 ||
@@ -662,6 +664,7 @@
       if (entry.engine >= static_cast<int>(engines_.size()))
         engines_.resize(static_cast<std::size_t>(entry.engine) + 1);
       Engine& e = engines_[static_cast<std::size_t>(entry.engine)];
+      if (!e.known) e = Engine{};  // the place may have been another one's
       const bool restarted = e.known && entry.came_up > e.came_up;
       e.zone = entry.zone, e.kind = entry.kind, e.cell = entry.cell;
       e.standing = entry.standing;
@@ -669,14 +672,10 @@
       e.listed = entry.standing == Standing::kReady;
       if (!e.known || restarted) {
         e.bound = std::floor(start_bound(e) * (1 - kCautious * crowding_)), e.delta = 0;
-        e.warm.clear(), e.held_until.clear();
-        e.utilisation.reset();
+        e.warm.clear(), e.held_until.clear(), e.utilisation.reset();
         e.slowdown = {}, e.lost = {};
-        e.suspicion = 0;
-        e.known = true;
-        e.told_up = now_;
-        e.cold_used = 0;
-        e.cold_start = uniform();
+        e.suspicion = 0, e.known = true;
+        e.told_up = now_, e.cold_used = 0, e.cold_start = uniform();
       }
     }
     judge();
@@ -729,6 +728,7 @@
     if (r == nullptr) return;
     Attempt& a = r->attempts[static_cast<std::size_t>(n.attempt)];
     Engine& e = engines_[static_cast<std::size_t>(a.engine)];
+    a.heard = now_;
     clear(e);
     if (s_.priority_heeded && !r->finished && priority(*r) != r->priority) terms(n.id, *r, e);
     if (n.topic == Topic::kWaits && n.amount >= 2) e.held_until[r->group] = now_ + 2 * s_.progress;
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 Directory::Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables,
-                     tcp::endpoint source)
+                     tcp::endpoint source, Micros reference)
     : strand_(strand),
       coordinator_(coordinator),
       log_(log),
@@ -31,7 +31,8 @@
       source_(source),
       socket_(strand),
       silence_(strand),
-      pause_(strand) {}
+      pause_(strand),
+      reference_(reference) {}
 
 void Directory::load(const json& known) {
   for (const json& event : known.at("updates")) apply(event, last_ == 0);
@@ -146,8 +147,19 @@
   return read;
 }
 
+// Replacements come under new names all day. Their numbers are given out again, or every table that is kept
+// by number would grow with them.
+void Directory::forget_gone() {
+  std::erase_if(gone_, [this](const auto& entry) {
+    if (coordinator_.now() - entry.second <= reference_) return false;
+    tables_.engines.forget(entry.first);
+    return true;
+  });
+}
+
 // All of an event is read before any of it is used: a bad line changes nothing.
 void Directory::apply(const json& event, bool first) {
+  forget_gone();
   const json& news = event.at("endpoints");
   const bool whole = optional_field(news, "snapshot", false) || first;
   std::vector<EngineEntry> entries;
@@ -162,9 +174,15 @@
     changes.push_back(std::move(read.change));
   }
   // What a whole list does not hold is gone.
-  for (int engine = 0; whole && engine < tables_.engines.size(); ++engine) {
-    if (!named.contains(engine))
-      changes.push_back({engine, tables_.engines.name(engine), {}, Standing::kGone, {}});
+  for (const auto& [name, engine] : tables_.engines.known()) {
+    if (whole && !named.contains(engine)) changes.push_back({engine, name, {}, Standing::kGone, {}});
+  }
+  for (const EngineChange& change : changes) {
+    if (change.standing == Standing::kGone) {
+      gone_.try_emplace(change.engine, coordinator_.now());
+    } else {
+      gone_.erase(change.engine);
+    }
   }
   last_ = event.at("index").get<std::int64_t>();
   coordinator_.listed(first   ? ListMode::kSaved
--- a/src/net/directory.h
+++ b/src/net/directory.h
@@ -15,7 +15,9 @@
 
 class Directory {
  public:
-  Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables, tcp::endpoint source);
+  // An engine that is gone for longer than `reference` is in nobody's hands any more.
+  Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables, tcp::endpoint source,
+            Micros reference);
 
   // The events of the start, as the configuration holds them. Throws on what cannot be read.
   void load(const nlohmann::json& known);
@@ -33,6 +35,7 @@
   bool take_lines();
   void take(std::string_view line);
   void apply(const nlohmann::json& event, bool first);
+  void forget_gone();
   Row read_row(const nlohmann::json& row);
 
   Strand strand_;
@@ -47,6 +50,8 @@
   InBuffer in_;
   std::string hello_;
   std::int64_t last_{0};
+  Micros reference_;
+  std::map<int, Micros> gone_;  // since when
   bool failing_{false};
 };
 
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -12,12 +12,13 @@
 
 namespace {
 constexpr Micros kSweep{100'000};
-// An answer whose first byte is here has been sent: the rest is a matter of milliseconds. A page comes when it
-// is asked for, at once. What stays away for so long does not come.
+// An answer whose first byte is here has been sent: the rest is a matter of milliseconds. A page comes when
+// it is asked for, at once. What stays away for so long does not come.
 constexpr Micros kAnswerMost{500'000};
 constexpr Micros kPagesWait{1'500'000};
 constexpr Micros kProbePatience{1'000'000};
-constexpr double kIdlePart = 0.7;  // of the idle time, after which a connection is not used again
+constexpr double kIdlePart = 0.7;      // of the idle time, after which a connection is not used again
+constexpr Micros kSilence{1'000'000};  // of a connection on which an attempt was then given up
 constexpr std::int64_t kPagesMost = 1024;
 constexpr std::size_t kResultMost = 48'000;
 constexpr std::size_t kUnsentMost = 4 << 20;  // commands that an engine does not read
@@ -61,6 +62,7 @@
       for (;;) {
         yield socket_.async_read_some(in_.room(), next);
         in_.filled(count);
+        heard_ = pool_.coordinator_.now();
         if (!take_answers()) return spoilt("unreadable answer");
         in_.shrink();
       }
@@ -82,6 +84,7 @@
     slot.name = dispatch.query.name;
     slot.attempt = dispatch.attempt;
     slot.tag = ++last_tag_;
+    slot.sent = pool_.coordinator_.now();
     slot.deadline = dispatch.query.taken + dispatch.query.limit;
     slots_.emplace(dispatch.query.id, std::move(slot));
     ++live_;
@@ -99,6 +102,11 @@
       slots_.erase(at);
       return;
     }
+    // Nothing at all was heard here for long: what has swallowed one answer is of no use to the next request.
+    if (live_ == 0 && probes_.empty() && used_ - std::max(heard_, slot.sent) > kSilence) {
+      slots_.erase(at);
+      return close({});
+    }
     command(slot.pages.empty() ? "cancel" : "release", slot);
     abandon(slot);
   }
@@ -149,10 +157,12 @@
     for (const std::uint64_t number : late) probe_ended(number, false, {});
     std::erase_if(slots_,
                   [&](const auto& entry) { return entry.second.abandoned && now > entry.second.deadline; });
-    if (idle() && up_ && idle_for() > kIdlePart) return close({});
+    const bool gone = pool_.engines_[static_cast<std::size_t>(engine_)].standing == Standing::kGone;
+    if (idle() && up_ && (gone || idle_for() > kIdlePart)) return close({});
     if (partial_since_.count() > 0 && now - partial_since_ > kAnswerMost) return spoilt("cut answer");
     for (const auto& [_, slot] : slots_) {
-      if (!slot.abandoned && slot.missing > 0 && now - slot.moved > kPagesWait) return spoilt("no page in time");
+      if (!slot.abandoned && slot.missing > 0 && now - slot.moved > kPagesWait)
+        return spoilt("no page in time");
     }
   }
 
@@ -192,6 +202,7 @@
     std::string name;
     int attempt{};
     std::uint64_t tag{};
+    Micros sent{0};
     bool abandoned{};
     Micros deadline{0};              // of the request; its id is not sent again after that
     std::vector<std::string> pages;  // once it was acknowledged: all of them, those missing empty
@@ -380,7 +391,8 @@
   std::unordered_map<std::uint64_t, Micros> probes_;
   std::size_t live_{0};
   std::uint64_t last_tag_{0};
-  Micros opened_{0}, used_{0}, partial_since_{0};  // the last: of an answer that is not whole yet; 0: none
+  Micros opened_{0}, used_{0}, heard_{0};
+  Micros partial_since_{0};  // of an answer that is not whole yet; 0: none
   bool up_{false}, closed_{false}, dirty_{false}, waiting_{false}, spoilt_{false};
 };
 
@@ -454,8 +466,8 @@
     const Engine& engine = engines_[i];
     if (i != number && engine.standing == Standing::kReady && engine.lines.empty()) ++owed;
     for (const auto& line : engine.lines) {
-      const bool spare = line->idle() && (i == number || engine.lines.size() > 1 ||
-                                          engine.standing != Standing::kReady);
+      const bool spare =
+          line->idle() && (i == number || engine.lines.size() > 1 || engine.standing != Standing::kReady);
       if (spare && (!oldest || line->used() < oldest->used())) oldest = line;
     }
   }
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -15,17 +15,19 @@
 namespace {
 constexpr std::int64_t kLongestFrame = 256 << 10;
 constexpr std::size_t kSmallFrame = 32 << 10;  // what any session may hold; more of it comes out of one store
-constexpr std::size_t kUnreadMost = 2 << 20;  // answers that a client leaves unread: more than 32 of the longest
+constexpr std::size_t kUnreadMost =
+    2 << 20;  // answers that a client leaves unread: more than 32 of the longest
 constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr std::chrono::milliseconds kSweep{250};
+constexpr std::size_t kClosedLines = 4;  // in the log, between two sweeps
 // A client that connects does so to ask at once. One that has not said a whole thing by then never will, and
 // is owed its close soon.
 constexpr Micros kFrameMost{2'000'000};
 // Clients close what has been idle for 4 s by themselves: what stays for longer only holds a descriptor.
 constexpr Micros kIdleMost{6'000'000};
-constexpr Micros kJustCame{250'000};      // its first request may still be on the way
+constexpr Micros kJustCame{250'000};                // its first request may still be on the way
 constexpr std::int64_t kLimitMost = 1'000'000'000;  // ms: beyond every class's, and far from running over
-constexpr Micros kUnreadWait{5'000'000};  // for a client that reads nothing
+constexpr Micros kUnreadWait{5'000'000};            // for a client that reads nothing
 }  // namespace
 
 #include <boost/asio/yield.hpp>
@@ -59,9 +61,7 @@
   }
   bool quiet() const { return out_.empty(); }
   // Bytes held beyond what every session may hold.
-  std::size_t stored() const {
-    return (in_.capacity() > kSmallFrame ? in_.capacity() : 0) + out_.size();
-  }
+  std::size_t stored() const { return (in_.capacity() > kSmallFrame ? in_.capacity() : 0) + out_.size(); }
 
   // For how long the client has done nothing that it would be missed for, in the order in which connections
   // are closed when there are too many: first those that never asked. Nothing where a request is open.
@@ -108,7 +108,7 @@
   // With a reason: the connection is ended for what its client did.
   void close(const char* reason) {
     if (std::exchange(closed_, true)) return;
-    if (reason != nullptr) front_.log_.line("client connection closed: " + std::string(reason));
+    if (reason != nullptr) front_.told_off(reason);
     error_code ignored;
     socket_.close(ignored);
     for (const auto& [call, id] : open_) front_.coordinator_.client_gone(id);
@@ -304,6 +304,12 @@
   accept();
 }
 
+// Clients that misbehave do so by the hundred: the log gets a few of each moment, and how many more there
+// were.
+void ThriftFront::told_off(const char* reason) {
+  if (++closed_since_ <= kClosedLines) log_.line("client connection closed: " + std::string(reason));
+}
+
 bool ThriftFront::make_room() {
   const Micros now = coordinator_.now();
   std::shared_ptr<Session> least;
@@ -331,6 +337,9 @@
   sweep_.async_wait([this](error_code error) {
     if (error) return;
     const Micros now = coordinator_.now();
+    if (closed_since_ > kClosedLines)
+      log_.line("client connections closed besides: " + std::to_string(closed_since_ - kClosedLines));
+    closed_since_ = 0;
     const auto sessions = sessions_;
     for (const auto& [_, session] : sessions) session->sweep(now);
     accept();
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -42,6 +42,7 @@
   void accept();
   void ended(std::uint64_t session);
   bool make_room();
+  void told_off(const char* reason);
   bool over_store() const;
   void sweep();
 
@@ -55,6 +56,7 @@
   boost::asio::steady_timer pause_, sweep_;
   bool accepting_{false}, ready_{false}, refusing_{false};
   std::uint64_t last_session_{0};
+  std::size_t closed_since_{0};  // for what their clients did, since the last sweep
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> sessions_;
   std::vector<std::shared_ptr<Session>> dirty_;
 };
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -8,7 +8,8 @@
 // After SIGTERM new connections come for 0.4 s at most, and requests on open ones for 0.2 s more.
 constexpr std::chrono::milliseconds kGrace{700};
 constexpr std::chrono::milliseconds kDrainLook{10};
-constexpr std::size_t kStorePart = 8;  // of the memory may be held for slow clients
+constexpr std::chrono::seconds kSettle{5};
+constexpr std::size_t kStorePart = 8;        // of the memory may be held for slow clients
 constexpr std::size_t kOwnDescriptors = 24;  // log, epoll, timers, signals, listener, directory
 }  // namespace
 
@@ -21,7 +22,7 @@
       engines_(strand_, coordinator_, log_, engine_limits()),
       front_(strand_, coordinator_, log_, config_.settings, config_.tables,
              {client_limit(), (config_.memory_mb << 20) / kStorePart}),
-      directory_(strand_, coordinator_, log_, config_.tables, config_.directory) {
+      directory_(strand_, coordinator_, log_, config_.tables, config_.directory, reference_time()) {
   coordinator_.attach(front_, engines_);
 }
 
@@ -63,6 +64,13 @@
 // they are given a little more than that. The engines share what is left.
 std::size_t Server::client_limit() const { return std::max<std::size_t>(1, config_.sockets * 2 / 5); }
 
+// Until every request that may have had an attempt on an engine has ended, and the module's next look around.
+Micros Server::reference_time() const {
+  Micros longest{0};
+  for (const ClassSettings& cls : config_.settings.classes) longest = std::max(longest, cls.hard_limit);
+  return longest + config_.settings.answer_slack + Micros{kSettle};
+}
+
 EnginePool::Limits Server::engine_limits() const {
   EnginePool::Limits limits = config_.engines;
   const std::size_t taken = client_limit() + std::min(config_.sockets / 4, kOwnDescriptors);
--- a/src/server.h
+++ b/src/server.h
@@ -28,6 +28,7 @@
  private:
   std::size_t client_limit() const;
   EnginePool::Limits engine_limits() const;
+  Micros reference_time() const;
   void leave();
   void await_signal();
 
--- a/src/settings_json.h
+++ b/src/settings_json.h
@@ -13,13 +13,24 @@
 
 namespace steprail {
 
-// Names in the order in which they were first met.
+// Names in the order in which they were first met; the place of a forgotten one goes to the next new one.
 class Names {
  public:
   int add(const std::string& name) {
-    const auto [at, fresh] = index_.try_emplace(name, static_cast<int>(names_.size()));
-    if (fresh) names_.push_back(name);
-    return at->second;
+    const int place = free_.empty() ? static_cast<int>(names_.size()) : free_.back();
+    const auto [at, fresh] = index_.try_emplace(name, place);
+    if (!fresh) return at->second;
+    if (free_.empty()) {
+      names_.push_back(name);
+    } else {
+      free_.pop_back();
+      names_[static_cast<std::size_t>(place)] = name;
+    }
+    return place;
+  }
+  void forget(int index) {
+    index_.erase(name(index));
+    free_.push_back(index);
   }
   int find(const std::string& name, const char* what) const {
     const int at = index(name);
@@ -32,11 +43,13 @@
     return at == index_.end() ? -1 : at->second;
   }
   const std::string& name(int index) const { return names_.at(static_cast<std::size_t>(index)); }
+  const std::map<std::string, int, std::less<>>& known() const { return index_; }
   int size() const { return static_cast<int>(names_.size()); }
 
  private:
   std::map<std::string, int, std::less<>> index_;
   std::vector<std::string> names_;
+  std::vector<int> free_;
 };
 
 template <typename T>
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -219,6 +219,26 @@
   EXPECT_GE(script.count_all<Cancel>(), 1);
 }
 
+TEST(Health, AnAttemptWhoseNotesStayAwayIsMovedWhileOthersAreHeard) {
+  Settings settings = basic_settings();
+  settings.progress = 500ms;
+  settings.most_tries = 3;
+  Script script(settings, 1);
+  script.arrive(1, 500), script.arrive(2, 500);
+  for (int i = 0; i < 5; ++i) {
+    script.wait(500ms);
+    script.feed(Note{.id = 2, .attempt = 0, .engine = 0, .amount = 0.6});
+  }
+  int moved = 0;
+  for (const Action& action : script.all) {
+    const auto* cancel = std::get_if<Cancel>(&action);
+    if (cancel == nullptr) continue;
+    ++moved;
+    EXPECT_EQ(cancel->id, 1u);
+  }
+  EXPECT_EQ(moved, 1);
+}
+
 TEST(Attempts, AnAttemptWithABadPlanIsBegunAnew) {
   Settings settings = basic_settings();
   settings.progress = 500ms;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -255,5 +255,23 @@
   EXPECT_GT(script.gateway.backlog_bound(1), 0);
 }
 
+// The caller gives a forgotten engine's number to the next new one, which is not cold because that one was.
+TEST(Scale, ANewEngineInAGoneOnesPlaceStartsFromNothing) {
+  const auto taken = [](Script& script) {
+    for (RequestId id = 1; id <= 100; ++id) script.arrive(id, 100);
+    return script.count_all<Send>();
+  };
+  Script script(basic_settings(), 0);
+  const auto list = [&](EngineEntry entry) {
+    script.feed(ListNews{.mode = ListMode::kIncremental, .entries = {entry}});
+  };
+  list({.engine = 0, .came_up = script.now});
+  list({.engine = 0, .standing = Standing::kGone});
+  script.wait(3s);
+  list({.engine = 0});
+  Script fresh(basic_settings(), 1);
+  EXPECT_EQ(taken(script), taken(fresh));
+}
+
 }  // namespace
 }  // namespace steprail::testing
