--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -20,7 +20,7 @@
 constexpr double kSlack = 0.25;  // of a class's mean aim over its mean delay goes into its slack factor
 constexpr double kSlackMin = 1.5, kSlackMax = 4.5;  // the range of slack factors in the paper
 constexpr double kDdrMost = 4;                      // one overdue finish weighs no more than this in a mean
-constexpr double kStartAims = 0.8;  // starting bound: mean aims' worth of all cores, split by gateways
+constexpr double kStartAims = 0.4;  // starting bound: mean aims' worth of all cores, split by gateways
 constexpr double kEnough = 8;       // finishes from which an engine's own mean DDR stands alone
 constexpr double kLeak = 0.5,
                  kCrowdGain = 3;    // many gateways: of a step forgotten; added to the next one's gain
@@ -45,7 +45,7 @@
 constexpr double kZoneTilt = 25;    // 1 / (1 + this x price) is the weight of a send across zones
 constexpr double kShunAt = 0.5;     // suspicion above the pool's from which an engine is shunned
 constexpr double kClears = 0.3;     // an answer leaves this part of the suspicion
-constexpr double kHard = 0.5, kSoft = 0.25;  // suspicion added by a broken connection; by a time-out
+constexpr double kHard = 0.5, kSoft = 0.25;  // suspicion added by a failed connect; by a break or a time-out
 constexpr double kLossPower = 6;   // an engine losing a fifth more than the pool gets a quarter of the weight
 constexpr double kShunMost = 0.5;  // part of the pool that may be shunned
 constexpr Micros kTrialMost = 4 * kPeriod;  // longest wait between trials of a shunned engine
@@ -673,8 +673,7 @@
       if (!e.known || restarted) {
         e.bound = std::floor(start_bound(e) * (1 - kCautious * crowding_)), e.delta = 0;
         e.warm.clear(), e.held_until.clear(), e.utilisation.reset();
-        e.slowdown = {}, e.lost = {};
-        e.suspicion = 0, e.known = true;
+        e.slowdown = {}, e.lost = {}, e.suspicion = 0, e.known = true;
         e.told_up = now_, e.cold_used = 0, e.cold_start = uniform();
       }
     }
@@ -797,7 +796,8 @@
       e.bound = std::max(std::ceil(mean_cost()), std::min(e.bound, e.backlog + others(e))), e.delta = 0;
     // An engine on which attempts run out of time is at least so slow; without notes it may have lost them.
     if (c.outcome == Outcome::kExpired && s_.progress.count() > 0) slowed(e, r, ms(c.delay));
-    if (c.outcome == Outcome::kDialFailed || c.outcome == Outcome::kDropped) suspect(e, kHard);
+    if (c.outcome == Outcome::kDialFailed) suspect(e, kHard);
+    if (c.outcome == Outcome::kDropped) suspect(e, kSoft);
     // An engine may answer some and lose others: its losses weigh in the draw, against the pool's.
     if (c.outcome == Outcome::kExpired || c.outcome == Outcome::kDelivered) {
       e.lost.add(c.outcome == Outcome::kExpired), pool_lost_.add(c.outcome == Outcome::kExpired);
