--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -11,7 +11,7 @@
 constexpr Micros kCancelStart{100'000};
 // The limit counts from the client's send, which nobody here sees. So much of it (and no more than this part)
 // is kept for the ways in and out, so that the last answer still finds its client waiting.
-constexpr Micros kWays{50'000};
+constexpr Micros kWays{100'000};
 constexpr int kWaysPart = 20;
 constexpr double kSenseless = 100;  // times what a query could use up: no estimate, however rough
 constexpr Micros kLate{30'000}, kLateLines{200'000};  // what is logged, and how often
