--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -20,9 +20,9 @@
 Coordinator::Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings)
     : strand_(strand), log_(log), settings_(settings), module_(seed, std::move(settings)), timer_(strand) {}
 
-void Coordinator::attach(Front& front, Engines& engines) {
-  front_ = &front;
-  engines_ = &engines;
+int Coordinator::attach(Front& front) {
+  fronts_.push_back(&front);
+  return static_cast<int>(fronts_.size()) - 1;
 }
 
 void Coordinator::start() { gather(Started{}); }
@@ -153,7 +153,7 @@
   actions_.clear();
   engines_->flush();
   tell_given_up();
-  front_->flush();
+  for (Front* front : fronts_) front->flush();
   arm();
   if (unanswered_ == 0 && when_empty_) std::exchange(when_empty_, nullptr)();
 }
@@ -219,7 +219,7 @@
   if (open.answered) return;
   open.answered = true;
   --unanswered_;
-  front_->answer(open.query.ticket, std::move(answer));
+  fronts_[static_cast<std::size_t>(open.query.ticket.front)]->answer(open.query.ticket, std::move(answer));
 }
 
 // The module may still speak of a request in the batch that ended it; then the action finds nothing.
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -9,8 +9,8 @@
 #include <queue>
 #include <unordered_map>
 
-#include "core/clock.h"
-#include "core/log.h"
+#include "base/clock.h"
+#include "base/log.h"
 #include "core/ports.h"
 
 namespace steprail {
@@ -20,12 +20,15 @@
 class Coordinator {
  public:
   Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings);
-  void attach(Front& front, Engines& engines);
+  void attach(Engines& engines) { engines_ = &engines; }
+  // Returns the number under which the front's tickets come back to it.
+  int attach(Front& front);
   void start();
 
   // Null if the query can be used as the settings stand, else what is wrong with it. The one place that
   // validates, for every front: what passes here can do no harm to the module or to an engine.
   const char* unusable(const Query& query) const;
+  const Settings& settings() const { return settings_; }
 
   // What has happened. Each is gathered, and decided on in the next turn of the loop.
   void arrived(Query query);
@@ -93,7 +96,7 @@
   Clock clock_;
   Settings settings_;
   Gateway module_;
-  Front* front_{};
+  std::vector<Front*> fronts_;
   Engines* engines_{};
   boost::asio::steady_timer timer_;
   Micros armed_for_{0};
--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,17 +49,26 @@
   void push(std::string piece, std::uint64_t tag = 0) {
     if (piece.empty()) return;
     size_ += piece.size();
-    pieces_.push_back({std::move(piece), tag});
+    pieces_.push_back({std::move(piece), tag, nullptr, 0, 0});
+  }
+  // Bytes that others hold as well: they are written from where they are.
+  void push(std::shared_ptr<const std::string> shared, std::size_t from, std::size_t to) {
+    if (from >= to) return;
+    size_ += to - from;
+    shared_size_ += to - from;
+    pieces_.push_back({{}, 0, std::move(shared), from, to});
   }
   bool empty() const { return pieces_.empty(); }
   std::size_t size() const { return size_; }
+  std::size_t own_size() const { return size_ - shared_size_; }
 
   // What one gathered write takes.
   const std::vector<boost::asio::const_buffer>& gather() {
     constexpr std::size_t kMost = 64;
     gathered_.clear();
     for (std::size_t i = 0; i < pieces_.size() && i < kMost; ++i) {
-      gathered_.push_back(boost::asio::buffer(pieces_[i].bytes));
+      const std::string_view bytes = pieces_[i].view();
+      gathered_.push_back(boost::asio::buffer(bytes.data(), bytes.size()));
     }
     if (!gathered_.empty()) gathered_.front() += sent_;
     return gathered_;
@@ -67,8 +77,10 @@
   void sent(std::size_t count) {
     size_ -= count;
     count += sent_;
-    while (!pieces_.empty() && count >= pieces_.front().bytes.size()) {
-      count -= pieces_.front().bytes.size();
+    while (!pieces_.empty() && count >= pieces_.front().view().size()) {
+      const Piece& front = pieces_.front();
+      count -= front.view().size();
+      if (front.shared) shared_size_ -= front.view().size();
       pieces_.pop_front();
     }
     sent_ = count;
@@ -97,11 +109,16 @@
   struct Piece {
     std::string bytes;
     std::uint64_t tag{};
+    std::shared_ptr<const std::string> shared{};  // in place of bytes
+    std::size_t from{0}, to{0};                   // of it
+    std::string_view view() const {
+      return shared ? std::string_view(*shared).substr(from, to - from) : std::string_view(bytes);
+    }
   };
   std::deque<Piece> pieces_;
   std::vector<boost::asio::const_buffer> gathered_;
   std::size_t sent_{0};  // of the first piece
-  std::size_t size_{0};
+  std::size_t size_{0}, shared_size_{0};
 };
 
 }  // namespace steprail
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t kOwnPart = 2;    // of the connections serve to give attempts one of their own
 constexpr std::int64_t kPagesMost = 1024;
 constexpr std::size_t kResultMost = 48'000;
+constexpr std::size_t kWindow = 16;  // pages of a long result that are asked for and not yet here
 constexpr std::size_t kUnsentMost = 4 << 20;  // commands that an engine does not read
 }  // namespace
 
@@ -87,6 +88,8 @@
     slot.tag = ++last_tag_;
     slot.sent = pool_.coordinator_.now();
     slot.deadline = dispatch.query.taken + dispatch.query.limit;
+    slot.sink = dispatch.query.sink;
+    slot.result_most = slot.sink != nullptr ? dispatch.query.result_most : kResultMost;
     slots_.emplace(dispatch.query.id, std::move(slot));
     ++live_;
     out_.push(serve_command(dispatch), last_tag_);
@@ -103,12 +106,13 @@
       slots_.erase(at);
       return;
     }
+    if (slot.sink != nullptr) slot.sink->lost(id, attempt);
     // Nothing at all was heard here for long: what has swallowed one answer is of no use to the next request.
     if (live_ == 0 && probes_.empty() && used_ - std::max(heard_, slot.sent) > kSilence) {
       slots_.erase(at);
       return close({});
     }
-    command(slot.pages.empty() ? "cancel" : "release", slot);
+    command(slot.count == 0 ? "cancel" : "release", slot);
     abandon(slot);
   }
 
@@ -188,6 +192,7 @@
     const auto slots = std::exchange(slots_, {});
     for (const auto& [id, slot] : slots) {
       if (slot.abandoned) continue;
+      if (slot.sink != nullptr) slot.sink->lost(id, slot.attempt);
       // What the engine cannot have read whole never ran; of the rest nobody knows.
       const bool unwritten = !up_ || out_.holds(slot.tag);
       const Outcome lost = spoilt_ ? Outcome::kAppError : Outcome::kDropped;
@@ -206,9 +211,13 @@
     Micros sent{0};
     bool abandoned{};
     Micros deadline{0};              // of the request; its id is not sent again after that
-    std::vector<std::string> pages;  // once it was acknowledged: all of them, those missing empty
+    PageSink* sink{};
+    std::size_t result_most{};
+    std::size_t count{};             // of the pages, once it was acknowledged
+    std::vector<std::string> pages;  // without a sink: all of them, those missing empty
     std::vector<bool> have;
     std::size_t missing{};
+    std::size_t asked{};  // pages up to this one have been asked for
     std::size_t bytes{};
     Micros moved{0};  // when the last page of it came
     LoadReport report;
@@ -239,6 +248,7 @@
 
   void abandon(Slot& slot) {
     slot.abandoned = true;
+    slot.sink = nullptr;
     slot.pages.clear();
     slot.have.clear();
   }
@@ -258,6 +268,7 @@
     if (slot.abandoned) return;
     --live_;
     used_ = pool_.coordinator_.now();
+    if (outcome != Outcome::kDelivered && slot.sink != nullptr) slot.sink->lost(id, slot.attempt);
     end(id, slot, outcome, report,
         outcome == Outcome::kDelivered ? std::move(slot.pages) : std::vector<std::string>{});
   }
@@ -308,7 +319,7 @@
       case Word::kAgain:
       case Word::kStale:
         // What was acknowledged has run: this is no proof of the contrary.
-        if (!slot.pages.empty()) return false;
+        if (slot.count > 0) return false;
         finished(at, Outcome::kShed, answer.report);
         return true;
       case Word::kEio:
@@ -343,44 +354,69 @@
       slots_.erase(at);
       return true;
     }
-    if (!slot.pages.empty()) return true;  // a second copy
-    if (count < 1 || count > kPagesMost || !whole_rows(answer.body)) return false;
-    slot.pages.resize(static_cast<std::size_t>(count));
-    slot.have.resize(slot.pages.size());
-    slot.pages[0] = answer.body;
-    slot.have[0] = true;
-    slot.bytes = answer.body.size();
-    slot.missing = slot.pages.size() - 1;
-    slot.moved = pool_.coordinator_.now();
+    if (slot.count > 0) return true;  // a second copy
+    // A page of a long result holds a row at least, and a row two bytes.
+    const auto most = slot.sink != nullptr ? std::max(kPagesMost, static_cast<std::int64_t>(slot.result_most / 2))
+                                           : kPagesMost;
+    if (count < 1 || count > most || !whole_rows(answer.body)) return false;
+    slot.count = static_cast<std::size_t>(count);
+    if (slot.sink == nullptr) slot.pages.resize(slot.count);
+    slot.have.resize(slot.count);
+    slot.missing = slot.count;
+    slot.asked = 1;
     slot.report = answer.report;
-    if (slot.missing == 0) {
-      finished(at, Outcome::kDelivered, slot.report);
-      return true;
-    }
-    std::string reads;
-    for (std::int64_t page = 1; page < count; ++page)
-      reads += "read " + slot.name + ' ' + std::to_string(page) + "\r\n";
-    out_.push(std::move(reads));
-    mark();
-    return true;
+    return taken(at, 0, answer.body);
   }
 
   bool block(std::unordered_map<RequestId, Slot>::iterator at, const EngineAnswer& answer) {
     Slot& slot = at->second;
     if (slot.abandoned) return true;
     const auto page = static_cast<std::size_t>(answer.position);
-    if (answer.position < 1 || page >= slot.pages.size()) return false;
+    if (answer.position < 1 || page >= slot.count) return false;
     if (slot.have[page]) return true;  // a second copy
     if (!whole_rows(answer.body)) return false;
-    slot.pages[page] = answer.body;
+    return taken(at, page, answer.body);
+  }
+
+  // A page that is new, and what follows from it.
+  bool taken(std::unordered_map<RequestId, Slot>::iterator at, std::size_t page, std::string_view bytes) {
+    Slot& slot = at->second;
     slot.have[page] = true;
     slot.moved = pool_.coordinator_.now();
-    slot.bytes += answer.body.size();
-    if (slot.bytes > kResultMost) return false;
-    if (--slot.missing == 0) finished(at, Outcome::kDelivered, slot.report);
+    slot.bytes += bytes.size();
+    --slot.missing;
+    if (slot.sink == nullptr) {
+      if (slot.bytes > slot.result_most) return false;
+      slot.pages[page] = bytes;
+    } else {
+      const auto want = page == 0 ? slot.sink->begin(at->first, slot.attempt, slot.count, bytes)
+                                  : slot.sink->page(at->first, slot.attempt, page, bytes);
+      if (want == PageSink::Want::kEnough) {
+        if (slot.missing > 0) command("release", slot);
+        slot.missing = 0;
+      }
+    }
+    if (slot.missing == 0) {
+      finished(at, Outcome::kDelivered, slot.report);
+      return true;
+    }
+    ask(slot);
     return true;
   }
 
+  // Without a sink all pages are asked for at once: they are few. A long result comes in a bounded window, so
+  // that neither its engine nor this side has to hold much of it.
+  void ask(Slot& slot) {
+    const std::size_t have = slot.count - slot.missing;
+    const std::size_t until = slot.sink == nullptr ? slot.count : std::min(slot.count, have + kWindow);
+    if (until <= slot.asked) return;
+    std::string reads;
+    for (; slot.asked < until; ++slot.asked)
+      reads += "read " + slot.name + ' ' + std::to_string(slot.asked) + "\r\n";
+    out_.push(std::move(reads));
+    mark();
+  }
+
   EnginePool& pool_;
   int engine_;
   tcp::endpoint to_;
--- a/src/net/thrift.cpp
+++ b/src/net/thrift.cpp
@@ -23,6 +23,11 @@
     return number(static_cast<unsigned>(type), 1).number(static_cast<unsigned>(id), 2);
   }
   Writer& stop() { return number(0, 1); }
+  Writer& map(const Texts& fields) {
+    number(11, 1).number(11, 1).number(fields.size(), 4);
+    for (const auto& [name, value] : fields) text(name).text(value);
+    return *this;
+  }
   Writer& head(Kind kind, std::string_view method, std::int32_t call) {
     return number(kVersion | static_cast<unsigned>(kind), 4)
         .text(method)
@@ -39,8 +44,12 @@
   std::size_t extra_;
 };
 
-// Of an Answer, what follows its body: an empty map of fields, `good`, and the ends of both structs.
-constexpr std::size_t kTailBytes = 3 + 6 + 4 + 2;
+// Of an Answer, what follows its body: the map of fields, `good`, and the ends of both structs.
+std::size_t tail_bytes(const Texts& fields) {
+  std::size_t bytes = 3 + 6 + 4 + 2;
+  for (const auto& [name, value] : fields) bytes += 8 + name.size() + value.size();
+  return bytes;
+}
 
 }  // namespace
 
@@ -175,25 +184,23 @@
   });
 }
 
-std::string served_head(std::int32_t call, std::string_view method, std::size_t body_bytes) {
-  Writer out(body_bytes + kTailBytes);
+std::string served_head(std::int32_t call, std::string_view method, std::size_t body_bytes,
+                        const Texts& fields) {
+  Writer out(body_bytes + tail_bytes(fields));
   out.head(Kind::kReply, method, call).field(Type::kStruct, 0).field(Type::kString, 1).number(body_bytes, 4);
   return out.frame();
 }
 
-std::string served_tail(bool good) {
+std::string served_tail(bool good, const Texts& fields) {
   Writer out;
-  out.field(Type::kMap, 2).number(11, 1).number(11, 1).number(0, 4);
+  out.field(Type::kMap, 2).map(fields);
   out.field(Type::kBool, 3).number(good ? 1 : 0, 1).stop().stop();
   return out.frame().substr(kFrameHead);
 }
 
-std::string thrown(std::int32_t call, std::int16_t field,
-                   const std::vector<std::pair<std::string, std::string>>& fields) {
+std::string thrown(std::int32_t call, std::string_view method, std::int16_t field, const Texts& fields) {
   Writer out;
-  out.head(Kind::kReply, "execute", call).field(Type::kStruct, field).field(Type::kMap, 1);
-  out.number(11, 1).number(11, 1).number(fields.size(), 4);
-  for (const auto& [name, value] : fields) out.text(name).text(value);
+  out.head(Kind::kReply, method, call).field(Type::kStruct, field).field(Type::kMap, 1).map(fields);
   return out.stop().stop().frame();
 }
 
--- a/src/net/thrift.h
+++ b/src/net/thrift.h
@@ -58,15 +58,17 @@
 bool read_head(Reader& reader, Message& message);
 
 using Fields = std::vector<std::pair<std::string_view, std::string_view>>;
+using Texts = std::vector<std::pair<std::string, std::string>>;
 bool read_execute(Reader& reader, Fields& fields, std::string_view& body);
 bool read_interrupt(Reader& reader, std::int32_t& call);
 
-// A served answer's frame is this head, the body's bytes, and this tail.
-std::string served_head(std::int32_t call, std::string_view method, std::size_t body_bytes);
-std::string served_tail(bool good);
-// Overloaded (field 1) or Internal (field 2) of `execute`, as a whole frame.
-std::string thrown(std::int32_t call, std::int16_t field,
-                   const std::vector<std::pair<std::string, std::string>>& fields);
+// A served answer's frame is this head, the body's bytes, and this tail; the head counts the tail in, with its
+// fields.
+std::string served_head(std::int32_t call, std::string_view method, std::size_t body_bytes,
+                        const Texts& fields = {});
+std::string served_tail(bool good, const Texts& fields = {});
+// Overloaded (field 1) or Internal (field 2), as a whole frame.
+std::string thrown(std::int32_t call, std::string_view method, std::int16_t field, const Texts& fields);
 std::string application_exception(std::int32_t call, std::string_view method, Fault fault,
                                   std::string_view text);
 
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -20,10 +20,10 @@
       grace_(strand_),
       coordinator_(strand_, log_, config_.seed, config_.settings),
       engines_(strand_, coordinator_, log_, engine_limits()),
-      front_(strand_, coordinator_, log_, config_.settings, config_.tables,
-             {client_limit(), (config_.memory_mb << 20) / kStorePart}),
+      front_(strand_, coordinator_, log_, config_.tables,
+             {.sessions = client_limit(), .store = (config_.memory_mb << 20) / kStorePart}),
       directory_(strand_, coordinator_, log_, config_.tables, config_.directory, reference_time()) {
-  coordinator_.attach(front_, engines_);
+  coordinator_.attach(engines_);
 }
 
 void Server::start() {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,6 +1,5 @@
 // Stories of the real coordinator over loopback sockets, against scripted clients, engines and a directory.
 // One thread runs all: each story advances the program until what it waits for has happened.
-#define CATCH_CONFIG_MAIN
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
