Serve spooled results by handle on a second service, off unless the operator's file says so

Need: a slow or dropping reader keeps an answer that an engine has paid for only as long as its connection lasts.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,24 +8,38 @@
   using namespace steprail;
   CLI::App app{"steprail: a coordinator in front of query engines"};
   app.require_subcommand(1);
-  std::string path;
+  std::string path, own, word;
   const auto with_config = [&](CLI::App* command) {
     command->add_option("--config", path, "configuration file (JSON)")->envname("NODE_CONFIG")->required();
+    command->add_option("--conf", own, "operator's file (directives; see help-config)");
     return command;
   };
   CLI::App* serve = with_config(app.add_subcommand("serve", "serve until SIGTERM"));
   CLI::App* check =
       with_config(app.add_subcommand("check-config", "read the configuration and say if it can be used"));
+  CLI::App* help = app.add_subcommand("help-config", "print what may stand in the operator's file");
+  help->add_option("word", word, "one block or directive");
   CLI::App* version = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
   try {
     if (*version) std::cout << "steprail " STEPRAIL_VERSION "\n";
+    if (*help) {
+      conf::Schema schema;
+      OperatorConf conf;
+      register_all(schema, conf);
+      const std::string text = schema.reference(word);
+      if (text.empty()) throw std::runtime_error("no block or directive is named '" + word + "'");
+      std::cout << text;
+    }
+    const auto read_own = [&] { return own.empty() ? OperatorConf{} : read_operator(own); };
     if (*check) {
       const Config config = read_config(path);
+      const std::string fault = misfit(read_own(), config.memory_mb, config.sockets);
+      if (!fault.empty()) throw std::runtime_error(own + ": " + fault);
       std::cout << config.name << ": can be used\n";
     }
     if (*serve) {
-      Server server(read_config(path));
+      Server server(read_config(path), read_own());
       server.start();
       server.io().run();
     }
--- /dev/null
+++ b/src/operator.cpp
@@ -0,0 +1,71 @@
+#include "operator.h"
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace steprail {
+
+using Given = conf::Directive::Given;
+
+void register_all(conf::Schema& schema, OperatorConf& into) {
+  conf::Block& log = schema.block("log", "The log on standard error.");
+  log.directive("format", "lines of words, or one JSON object a line")
+      .choice({"text", "json"})
+      .standard("text")
+      .take([&into](const Given& given) { return into.log.json = given.text(0) == "json", std::string(); });
+  log.directive("level", "what is left out below")
+      .choice({"debug", "info", "warn", "error"})
+      .standard("info")
+      .take([&into](const Given& given) {
+        const std::string& word = given.text(0);
+        into.log.least = word == "debug"  ? Level::kDebug
+                         : word == "info" ? Level::kInfo
+                         : word == "warn" ? Level::kWarn
+                                          : Level::kError;
+        return std::string();
+      });
+  conf::Block& metrics = schema.block("metrics", "Counters and gauges, in the text exposition format.");
+  metrics.directive("file", "replaced as a whole at SIGUSR1")
+      .path("FILE")
+      .required()
+      .take([&into](const Given& given) { return into.metrics_file = given.text(0), std::string(); });
+  spool::register_spool(schema, into.spool);
+}
+
+OperatorConf read_operator(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("operator's file " + path + " cannot be opened");
+  std::stringstream text;
+  text << file.rdbuf();
+  OperatorConf conf;
+  conf.path = path;
+  conf::Schema schema;
+  register_all(schema, conf);
+  const conf::Document document = conf::parse(path, text.str());
+  const auto faults = schema.apply(document);
+  if (!faults.empty()) {
+    std::string told = conf::render(document, faults);
+    told.pop_back();
+    throw std::runtime_error("operator's file cannot be used:\n" + told);
+  }
+  return conf;
+}
+
+std::string misfit(const OperatorConf& conf, std::size_t memory_mb, std::size_t sockets) {
+  if (!conf.spool.on) return {};
+  if (conf.spool.logic.memory.most > (static_cast<std::uint64_t>(memory_mb) << 20) * 3 / 4)
+    return "spool: 'memory' is more than three quarters of the " + std::to_string(memory_mb) +
+           " MB that the coordinator has";
+  if (conf.spool.sessions > sockets / 3)
+    return "spool: 'sessions' is more than a third of the " + std::to_string(sockets) +
+           " descriptors that the coordinator has";
+  return {};
+}
+
+std::string needs_restart(const OperatorConf& running, const OperatorConf& fresh) {
+  if (running.metrics_file.empty() != fresh.metrics_file.empty()) return "metrics";
+  return spool::needs_restart(running.spool, fresh.spool);
+}
+
+}  // namespace steprail
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -1,5 +1,6 @@
 #include "server.h"
 
+#include <boost/asio/post.hpp>
 #include <csignal>
 
 namespace steprail {
@@ -10,11 +11,13 @@
 constexpr std::chrono::milliseconds kDrainLook{10};
 constexpr std::chrono::seconds kSettle{5};
 constexpr std::size_t kStorePart = 8;        // of the memory may be held for slow clients
+constexpr std::size_t kSpoolDescriptors = 16;  // listener, index, a segment being written and those being read
 constexpr std::size_t kOwnDescriptors = 24;  // log, epoll, timers, signals, listener, directory
 }  // namespace
 
-Server::Server(Config config)
+Server::Server(Config config, OperatorConf conf)
     : config_(std::move(config)),
+      conf_(std::move(conf)),
       strand_(io_.get_executor()),
       signals_(strand_),
       grace_(strand_),
@@ -24,6 +27,30 @@
              {.sessions = client_limit(), .store = (config_.memory_mb << 20) / kStorePart}),
       directory_(strand_, coordinator_, log_, config_.tables, config_.directory, reference_time()) {
   coordinator_.attach(engines_);
+  start_parts();
+}
+
+Server::~Server() = default;
+
+void Server::start_parts() {
+  if (conf_.path.empty()) return;
+  log_.set(conf_.log);
+  const std::string fault = misfit(conf_, config_.memory_mb, config_.sockets);
+  if (!fault.empty()) throw std::runtime_error(conf_.path + ": " + fault);
+  metrics_ = std::make_unique<Metrics>();
+  if (!conf_.spool.on) return;
+  std::vector<std::string> tenants;
+  for (int i = 0; i < config_.tables.tenants.size(); ++i) tenants.push_back(config_.tables.tenants.name(i));
+  spool_ = std::make_unique<spool::Spool>(strand_, log_, *metrics_, conf_.spool, std::move(tenants));
+  readers_ = std::make_unique<spool::ReaderFront>(strand_, coordinator_, log_, config_.tables, *spool_,
+                                                  reader_limits());
+}
+
+FramedServer::Limits Server::reader_limits() const {
+  return {.sessions = conf_.spool.sessions,
+          .store = (config_.memory_mb << 20) / kStorePart,
+          .idle = std::max(conf_.spool.logic.lease, Micros{kSettle}),
+          .pause_at = conf_.spool.unread_most};
 }
 
 void Server::start() {
@@ -31,10 +58,17 @@
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
   signals_.add(SIGHUP);
+  if (!conf_.metrics_file.empty()) signals_.add(SIGUSR1);
   await_signal();
   coordinator_.start();
   directory_.load(config_.known);
   directory_.follow();
+  if (readers_) {
+    const auto at = parse_address(conf_.spool.listen);
+    if (!at) throw std::runtime_error(conf_.path + ": listen is no address: '" + conf_.spool.listen + "'");
+    reader_endpoint_ = readers_->listen(*at);
+    readers_->set_ready(true);
+  }
   endpoint_ = front_.listen(config_.listen);
   front_.set_ready(true);
   log_.line("serving as " + config_.name);
@@ -43,18 +77,38 @@
 void Server::await_signal() {
   signals_.async_wait([this](boost::system::error_code error, int number) {
     if (error) return;
-    number == SIGHUP ? reload() : stop();
+    if (number == SIGHUP) {
+      reload();
+    } else if (number == SIGUSR1) {
+      write_metrics();
+    } else {
+      stop();
+    }
     await_signal();
   });
 }
 
-// Only the directory's address can change under way: what else the file says takes a restart. A file that
-// cannot be used changes nothing.
+// Of the platform's file only the directory's address can change under way: what else it says takes a restart.
+// The operator's file is taken whole or not at all. Where either cannot be used, nothing changes.
 void Server::reload() {
   try {
     const Config fresh = read_config(config_.path);
+    OperatorConf conf = conf_.path.empty() ? OperatorConf{} : read_operator(conf_.path);
+    std::string fault = misfit(conf, config_.memory_mb, config_.sockets);
+    if (fault.empty()) {
+      const std::string fixed = needs_restart(conf_, conf);
+      if (!fixed.empty()) fault = "'" + fixed + "' changes with a restart only";
+    }
+    if (!fault.empty()) throw std::runtime_error(conf_.path + ": " + fault);
     log_.line("configuration read again");
     directory_.move_to(fresh.directory);
+    if (conf_.path.empty()) return;
+    conf_ = std::move(conf);
+    log_.set(conf_.log);
+    if (spool_) {
+      spool_->reconfigure(conf_.spool);
+      readers_->set_limits(reader_limits());
+    }
   } catch (const std::exception& fault) {
     log_.line(std::string("configuration kept as it was: ") + fault.what());
   }
@@ -75,6 +129,9 @@
   EnginePool::Limits limits = config_.engines;
   const std::size_t taken = client_limit() + std::min(config_.sockets / 4, kOwnDescriptors);
   limits.connections = std::max<std::size_t>(1, config_.sockets - std::min(taken, config_.sockets));
+  // Readers' connections and the spool's own files come out of the engines' part.
+  const std::size_t spool = conf_.spool.on ? conf_.spool.sessions + kSpoolDescriptors : 0;
+  limits.connections -= std::min(spool, limits.connections - 1);
   return limits;
 }
 
@@ -82,17 +139,37 @@
   if (std::exchange(stopping_, true)) return;
   log_.line("stopping, " + std::to_string(coordinator_.unanswered()) + " requests open");
   front_.set_ready(false);
+  if (readers_) readers_->set_ready(false);
   grace_.expires_after(kGrace);
   grace_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     front_.refuse_new();
-    coordinator_.when_empty([this] { leave(); });
+    if (readers_) readers_->refuse_new();
+    coordinator_.when_empty([this] {
+      if (spool_) spool_->store_all();
+      leave();
+    });
+  });
+}
+
+void Server::write_metrics() {
+  if (spool_) spool_->observe();
+  if (!errands_) errands_ = std::make_unique<Worker>(1);
+  const bool taken = errands_->post([this, path = conf_.metrics_file, text = metrics_->text()] {
+    const std::string fault = replace_file(path, text);
+    boost::asio::post(strand_, [this, fault] {
+      if (fault.empty()) return log_.event(Level::kInfo, "metrics-written", {});
+      log_.event(Level::kWarn, "metrics-not-written", {{"cause", fault}});
+    });
   });
+  if (!taken) log_.event(Level::kWarn, "metrics-not-written", {{"cause", "the last ones are still being written"}});
 }
 
 // The last answers must be with the kernel before the process ends.
 void Server::leave() {
-  if (front_.written_out()) {
+  // Whole results that only this process has wait for their readers: their leases and give-up times end that.
+  const bool spooled = !spool_ || (spool_->settled() && readers_->written_out());
+  if (front_.written_out() && spooled) {
     log_.line("ended, " + std::to_string(log_.broken_count()) + " invariants broken");
     return io_.stop();
   }
--- a/src/server.h
+++ b/src/server.h
@@ -8,13 +8,18 @@
 #include "core/coordinator.h"
 #include "net/directory.h"
 #include "net/engine_pool.h"
+#include "base/worker.h"
 #include "net/front.h"
+#include "operator.h"
+#include "spool/reader_front.h"
 
 namespace steprail {
 
 class Server {
  public:
-  explicit Server(Config config);
+  // Throws std::runtime_error with one plain line where a part that the operator's file turns on cannot be.
+  explicit Server(Config config, OperatorConf conf = {});
+  ~Server();
   // From here on clients can come; the loop itself is the caller's, by io().
   void start();
   // As at SIGTERM: what was taken is answered, then the loop ends.
@@ -23,6 +28,10 @@
   void reload();
   boost::asio::io_context& io() { return io_; }
   tcp::endpoint endpoint() const { return endpoint_; }
+  // Of the second service, where it is on.
+  tcp::endpoint reader_endpoint() const { return reader_endpoint_; }
+  Metrics* metrics() { return metrics_.get(); }
+  spool::Spool* spool() { return spool_.get(); }
   std::uint64_t broken_invariants() const { return log_.broken_count(); }
 
  private:
@@ -31,8 +40,12 @@
   Micros reference_time() const;
   void leave();
   void await_signal();
+  void start_parts();
+  FramedServer::Limits reader_limits() const;
+  void write_metrics();
 
   Config config_;
+  OperatorConf conf_;
   EventLog log_;
   boost::asio::io_context io_{1};
   Strand strand_;
@@ -42,7 +55,12 @@
   EnginePool engines_;
   ThriftFront front_;
   Directory directory_;
-  tcp::endpoint endpoint_;
+  // What the operator's file turns on; null where it does not.
+  std::unique_ptr<Metrics> metrics_;
+  std::unique_ptr<spool::Spool> spool_;
+  std::unique_ptr<spool::ReaderFront> readers_;
+  std::unique_ptr<Worker> errands_;  // the metrics file is written off the loop
+  tcp::endpoint endpoint_, reader_endpoint_;
   bool stopping_{false};
 };
 
--- a/src/spool/logic/spool_logic.cpp
+++ b/src/spool/logic/spool_logic.cpp
@@ -25,6 +25,7 @@
   memory.most -= borrow_most();
   memory_.set(memory, weights);
   disk_.set(settings.disk, weights);
+  read_.set({borrow_most(), 1, 0.99, settings.memory.reserved}, weights);
   relieve(out);
 }
 
@@ -300,14 +301,15 @@
   return at == results_.end() ? 0 : at->second.charged;
 }
 
-bool SpoolLogic::borrow(Bytes bytes) {
-  // One window at least, or a lowered budget would stop every reader for good.
-  if (borrowed_ > 0 && borrowed_ + bytes > borrow_most()) return false;
-  borrowed_ += bytes;
+bool SpoolLogic::borrow(std::size_t tenant, Bytes bytes) {
+  if (read_.take(tenant, bytes)) return true;
+  // A tenant that has nothing gets one window in any case, or a long one could never be read.
+  if (read_.used(tenant) > 0) return false;
+  read_.take_anyway(tenant, bytes);
   return true;
 }
 
-void SpoolLogic::returned(Bytes bytes) { borrowed_ -= std::min(bytes, borrowed_); }
+void SpoolLogic::returned(std::size_t tenant, Bytes bytes) { read_.give_back(tenant, bytes); }
 
 bool SpoolLogic::store(ResultId id, Result& result, std::vector<Order>& out) {
   if (!disk_open_ || result.storing || result.on_disk) return false;
--- a/src/spool/logic/spool_logic.h
+++ b/src/spool/logic/spool_logic.h
@@ -113,8 +113,8 @@
   Bytes charged(ResultId id) const;
   bool too_long(Bytes expected) const { return expected > settings_.result_most; }
   // Room for reading back from disk: a budget of its own, so that a full spool cannot stop its readers.
-  bool borrow(Bytes bytes);
-  void returned(Bytes bytes);
+  bool borrow(std::size_t tenant, Bytes bytes);
+  void returned(std::size_t tenant, Bytes bytes);
   void stored(ResultId id, Bytes on_disk);
   void not_stored(ResultId id);
   void erased(ResultId id);
@@ -150,7 +150,7 @@
   const Budget& memory() const { return memory_; }
   const Budget& disk() const { return disk_; }
   bool disk_open() const { return disk_open_; }
-  Bytes borrowed() const { return borrowed_; }
+  Bytes borrowed() const { return read_.used(); }
   Bytes borrow_most() const;
 
  private:
@@ -183,9 +183,9 @@
   Grant window(Results::iterator at, std::size_t page, std::uint64_t row, Bytes bytes, Micros now);
 
   LogicSettings settings_;
-  Budget memory_, disk_;
+  Budget memory_, disk_, read_;
   bool disk_open_;
-  Bytes borrowed_{0}, storing_bytes_{0};
+  Bytes storing_bytes_{0};
   TimingWheel wheel_;
   Results results_;
   // What a result takes on disk, from the order to store it until it is erased there: also when it has ended.
