--- a/src/server.cpp
+++ b/src/server.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t kOwnDescriptors = 24;  // log, epoll, timers, signals, listener, directory
 }  // namespace
 
-Server::Server(Config config, OperatorConf conf)
+Server::Server(Config config, OperatorConf conf, spool::Substitutes substitutes)
     : config_(std::move(config)),
       conf_(std::move(conf)),
       strand_(io_.get_executor()),
@@ -27,12 +27,12 @@
              {.sessions = client_limit(), .store = (config_.memory_mb << 20) / kStorePart}),
       directory_(strand_, coordinator_, log_, config_.tables, config_.directory, reference_time()) {
   coordinator_.attach(engines_);
-  start_parts();
+  start_parts(std::move(substitutes));
 }
 
 Server::~Server() = default;
 
-void Server::start_parts() {
+void Server::start_parts(spool::Substitutes substitutes) {
   if (conf_.path.empty()) return;
   log_.set(conf_.log);
   const std::string fault = misfit(conf_, config_.memory_mb, config_.sockets);
@@ -41,7 +41,8 @@
   if (!conf_.spool.on) return;
   std::vector<std::string> tenants;
   for (int i = 0; i < config_.tables.tenants.size(); ++i) tenants.push_back(config_.tables.tenants.name(i));
-  spool_ = std::make_unique<spool::Spool>(strand_, log_, *metrics_, conf_.spool, std::move(tenants));
+  spool_ = std::make_unique<spool::Spool>(strand_, log_, *metrics_, conf_.spool, std::move(tenants),
+                                          std::move(substitutes));
   readers_ = std::make_unique<spool::ReaderFront>(strand_, coordinator_, log_, config_.tables, *spool_,
                                                   reader_limits());
 }
@@ -68,6 +69,8 @@
     if (!at) throw std::runtime_error(conf_.path + ": listen is no address: '" + conf_.spool.listen + "'");
     reader_endpoint_ = readers_->listen(*at);
     readers_->set_ready(true);
+    const std::string address = reader_endpoint_.address().to_string() + ':' + std::to_string(reader_endpoint_.port());
+    log_.event(Level::kInfo, "spool-listening", {{"address", address}});
   }
   endpoint_ = front_.listen(config_.listen);
   front_.set_ready(true);
--- a/src/server.h
+++ b/src/server.h
@@ -18,7 +18,7 @@
 class Server {
  public:
   // Throws std::runtime_error with one plain line where a part that the operator's file turns on cannot be.
-  explicit Server(Config config, OperatorConf conf = {});
+  explicit Server(Config config, OperatorConf conf = {}, spool::Substitutes substitutes = {});
   ~Server();
   // From here on clients can come; the loop itself is the caller's, by io().
   void start();
@@ -40,7 +40,7 @@
   Micros reference_time() const;
   void leave();
   void await_signal();
-  void start_parts();
+  void start_parts(spool::Substitutes substitutes);
   FramedServer::Limits reader_limits() const;
   void write_metrics();
 
--- a/src/spool/reader_front.cpp
+++ b/src/spool/reader_front.cpp
@@ -238,6 +238,8 @@
   void fetched(std::int32_t call, const Window& window) {
     answered();
     if (window.error == StoreError::kUnknown) return refuse(call, "fetch", refusal(End::kLeaseEnded), false);
+    if (window.error == StoreError::kBusy)
+      return refuse(call, "fetch", {"busy", "no descriptor is free to read it with; ask again", true}, true);
     if (window.error != StoreError::kNone) return refuse(call, "fetch", refusal(End::kLost), false);
     give(call, "fetch", window,
          {{"row", std::to_string(window.first_row)},
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -58,11 +58,12 @@
                         {1e3, 6e3, 48e3, 256e3, 1e6, 4e6, 16e6, 64e6})) {}
 
 Spool::Spool(Strand strand, EventLog& log, Metrics& metrics, SpoolSettings settings,
-             std::vector<std::string> tenants, std::unique_ptr<Files> files, std::unique_ptr<Index> index)
+             std::vector<std::string> tenants, Substitutes substitutes)
     : strand_(strand),
       log_(log),
       settings_(std::move(settings)),
       tenants_(std::move(tenants)),
+      unix_us_(substitutes.unix_us ? std::move(substitutes.unix_us) : unix_now),
       logic_(settings_.logic, weights(settings_), now()),
       freed_(std::make_shared<Pages::Freed>()),
       returned_(std::make_shared<Pages::Freed>()),
@@ -80,6 +81,8 @@
       if (still && *still) read_back();
     });
   };
+  std::unique_ptr<Files> files = std::move(substitutes.files);
+  std::unique_ptr<Index> index = std::move(substitutes.index);
   if (!settings_.disk_path.empty() && !files) {
     files = posix_files(settings_.disk_path);
     index = lmdb_index(settings_.disk_path, kIndexMost);
@@ -122,7 +125,7 @@
 }
 
 void Spool::recover() {
-  const std::int64_t unix_time = unix_now();
+  const std::int64_t unix_time = unix_us_();
   SegmentStore::Recovery found = disk_->recover(unix_time);
   if (!found.usable) logic_.disk_closed();
   for (const StoredResult& result : found.whole) {
@@ -131,7 +134,7 @@
     PageIndex index;
     index.reserve(result.pages.size());
     for (const StoredPage& page : result.pages) index.add(page.rows, page.bytes);
-    const Micros left{result.give_up_unix_us - unix_time};
+    const Micros left{std::min(result.give_up_unix_us - unix_time, result.left_us)};
     const auto number = tenants_.empty() ? 0 : static_cast<std::size_t>(tenant - tenants_.begin());
     if (known_tenant && logic_.recovered(result.id, number, result.handle, std::move(index), result.acknowledged,
                                          result.bytes_on_disk(), now() + left, now())) {
@@ -351,7 +354,7 @@
                     window = cut(pages, reading.first, *view->index, reading.first, reading.last, reading.row,
                                  reading.window);
                     handed_out(reading.id, window);
-                  } else if (view) {
+                  } else if (view && error != StoreError::kBusy) {
                     counted_.spoilt.Increment();
                     log_.event(Level::kError, "spool-result-lost", {{"pages", view->index->pages()}});
                     ended(reading.id, End::kLost);
@@ -439,7 +442,8 @@
   meta.handle = *view->handle;
   if (!tenants_.empty()) meta.tenant = tenants_[view->tenant];
   meta.acknowledged = view->acknowledged;
-  meta.give_up_unix_us = unix_now() + (view->give_up - now()).count();
+  meta.left_us = (view->give_up - now()).count();
+  meta.give_up_unix_us = unix_us_() + meta.left_us;
   for (std::size_t page = 0; page < view->index->pages(); ++page)
     meta.pages.push_back({static_cast<std::uint32_t>(view->index->rows_in(page)),
                           static_cast<std::uint32_t>(view->index->bytes_in(page))});
--- a/src/spool/spool.h
+++ b/src/spool/spool.h
@@ -49,13 +49,18 @@
   Window window;
 };
 
+// What stands in for the machine's own in tests.
+struct Substitutes {
+  std::unique_ptr<Files> files{};  // of the disk tier's folder, and its index
+  std::unique_ptr<Index> index{};
+  std::function<std::int64_t()> unix_us{};  // the wall clock; leases do not look at it
+};
+
 class Spool : public PageSink {
  public:
-  // Throws std::runtime_error where the folder of the disk tier cannot be used. `files` and `index` stand in for
-  // that folder in tests.
+  // Throws std::runtime_error where the folder of the disk tier cannot be used.
   Spool(Strand strand, EventLog& log, Metrics& metrics, SpoolSettings settings,
-        std::vector<std::string> tenants, std::unique_ptr<Files> files = nullptr,
-        std::unique_ptr<Index> index = nullptr);
+        std::vector<std::string> tenants, Substitutes substitutes = {});
   ~Spool() override;
 
   void reconfigure(const SpoolSettings& settings);
@@ -92,6 +97,7 @@
   void store_all();
   // Nothing is left that only this process has.
   bool settled() const;
+  bool disk_idle() const { return !disk_ || disk_->idle(); }
 
   // Brings the gauges up to date.
   void observe();
@@ -140,6 +146,7 @@
   EventLog& log_;
   SpoolSettings settings_;
   std::vector<std::string> tenants_;
+  std::function<std::int64_t()> unix_us_;
   SpoolLogic logic_;
   std::shared_ptr<Pages::Freed> freed_, returned_;
   std::unordered_map<RequestId, Held> held_;
--- a/src/spool/store/files.h
+++ b/src/spool/store/files.h
@@ -30,7 +30,8 @@
  public:
   virtual ~Files() = default;
   virtual std::unique_ptr<File> create(const std::string& name) = 0;  // null where it cannot be had
-  virtual std::unique_ptr<File> open(const std::string& name) = 0;    // to be read
+  // To be read; null where it cannot be had. `missing`: because it is not there, and not for want of descriptors.
+  virtual std::unique_ptr<File> open(const std::string& name, bool& missing) = 0;
   virtual bool remove(const std::string& name) = 0;
   virtual std::vector<std::string> list() = 0;
   // A file's own name is on the disk once this is.
--- a/src/spool/store/posix_files.cpp
+++ b/src/spool/store/posix_files.cpp
@@ -85,8 +85,10 @@
   std::unique_ptr<File> create(const std::string& name) override {
     return wrap(::open(path(name).c_str(), O_RDWR | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC, 0600));
   }
-  std::unique_ptr<File> open(const std::string& name) override {
-    return wrap(::open(path(name).c_str(), O_RDONLY | O_CLOEXEC));
+  std::unique_ptr<File> open(const std::string& name, bool& missing) override {
+    const int number = ::open(path(name).c_str(), O_RDONLY | O_CLOEXEC);
+    missing = number < 0 && errno != EMFILE && errno != ENFILE && errno != ENOMEM;
+    return wrap(number);
   }
   bool remove(const std::string& name) override { return ::unlink(path(name).c_str()) == 0; }
   std::vector<std::string> list() override {
--- a/src/spool/store/segment_store.cpp
+++ b/src/spool/store/segment_store.cpp
@@ -71,7 +71,7 @@
   for (const StoredResult::Chunk& chunk : result.chunks)
     chunks.push_back({chunk.segment, chunk.offset, chunk.length, chunk.first_page});
   const json value = {{"v", kVersion},         {"h", result.handle},          {"t", result.tenant},
-                      {"a", result.acknowledged}, {"g", result.give_up_unix_us}, {"p", std::move(pages)},
+                      {"a", result.acknowledged}, {"g", result.give_up_unix_us}, {"l", result.left_us}, {"p", std::move(pages)},
                       {"c", std::move(chunks)}};
   const auto bytes = json::to_cbor(value);
   return {bytes.begin(), bytes.end()};
@@ -85,6 +85,7 @@
     result.tenant = value.at("t");
     result.acknowledged = value.at("a");
     result.give_up_unix_us = value.at("g");
+    result.left_us = value.at("l");
     for (const json& page : value.at("p")) result.pages.push_back({page.at(0), page.at(1)});
     for (const json& c : value.at("c")) result.chunks.push_back({c.at(0), c.at(1), c.at(2), c.at(3)});
   } catch (const json::exception&) {
@@ -135,7 +136,15 @@
     bool whole = true;
     std::string raw;
     for (std::size_t chunk = 0; whole && chunk < result.chunks.size(); ++chunk) {
-      whole = read_chunk(result, chunk, raw) == StoreError::kNone;
+      const StoreError error = read_chunk(result, chunk, raw);
+      if (error == StoreError::kBusy) {
+        // Nothing can be said of what is there, so nothing is taken for lost either.
+        closed_ = true;
+        recovery = {};
+        recovery.usable = false;
+        return recovery;
+      }
+      whole = error == StoreError::kNone;
       recovery.bytes_read += result.chunks[chunk].length;
     }
     if (!whole) {
@@ -176,12 +185,12 @@
   }
 }
 
-bool SegmentStore::roll() {
+Io SegmentStore::roll() {
   out_ = files_.create(segment_name(current_ + 1));
-  if (!out_) return false;
+  if (!out_) return Io::kNoSpace;  // or descriptor: nothing is lost by it, and a later try may have one
   ++current_;
   segments_[current_] = {};
-  return files_.sync_names() == Io::kGood;
+  return files_.sync_names() == Io::kGood ? Io::kGood : Io::kFailed;
 }
 
 Io SegmentStore::append(Item& item) {
@@ -218,7 +227,8 @@
         const Io synced = out_->sync();
         if (synced != Io::kGood) return Io::kFailed;
       }
-      if (!roll()) return Io::kFailed;
+      const Io rolled = roll();
+      if (rolled != Io::kGood) return rolled;
     }
     Segment& segment = segments_[current_];
     const std::string_view pieces[] = {{reinterpret_cast<const char*>(&head), sizeof head}, bytes};
@@ -312,15 +322,19 @@
   }
 }
 
-File* SegmentStore::reader(std::uint32_t segment) {
+File* SegmentStore::reader(std::uint32_t segment, StoreError& error) {
   const auto held = std::find_if(readers_.begin(), readers_.end(),
                                  [&](const auto& entry) { return entry.first == segment; });
   if (held != readers_.end()) {
     std::rotate(readers_.begin(), held, held + 1);
     return readers_.front().second.get();
   }
-  auto file = files_.open(segment_name(segment));
-  if (!file) return nullptr;
+  bool missing = false;
+  auto file = files_.open(segment_name(segment), missing);
+  if (!file) {
+    error = missing ? StoreError::kSpoilt : StoreError::kBusy;
+    return nullptr;
+  }
   if (readers_.size() >= kReaders) readers_.pop_back();
   readers_.insert(readers_.begin(), {segment, std::move(file)});
   return readers_.front().second.get();
@@ -331,8 +345,9 @@
   const std::size_t end =
       number + 1 < result.chunks.size() ? result.chunks[number + 1].first_page : result.pages.size();
   if (chunk.length < sizeof(Head) || chunk.length > kChunkMost) return StoreError::kSpoilt;
-  File* file = reader(chunk.segment);
-  if (file == nullptr) return StoreError::kSpoilt;
+  StoreError error = StoreError::kNone;
+  File* file = reader(chunk.segment, error);
+  if (file == nullptr) return error;
   std::string record(chunk.length, '\0');
   if (!file->read(chunk.offset, record)) return StoreError::kSpoilt;
   Head head;
--- a/src/spool/store/segment_store.h
+++ b/src/spool/store/segment_store.h
@@ -39,6 +39,7 @@
   std::string handle, tenant;
   std::uint64_t acknowledged{};     // rows
   std::int64_t give_up_unix_us{};   // of the request
+  std::int64_t left_us{};           // until then, when it was stored: no wall clock makes it longer
   std::vector<StoredPage> pages;
   struct Chunk {
     std::uint32_t segment{};
@@ -50,7 +51,8 @@
   std::uint64_t bytes_on_disk() const;
 };
 
-enum class StoreError { kNone, kNoRoom, kClosed, kUnknown, kSpoilt };
+// kBusy: no descriptor is to be had now; the result is there.
+enum class StoreError { kNone, kNoRoom, kClosed, kUnknown, kSpoilt, kBusy };
 
 class SegmentStore {
  public:
@@ -88,10 +90,10 @@
     std::uint64_t bytes{0};
     std::size_t live{0};  // results with a record in it
   };
-  bool roll();
+  Io roll();
   Io append(Item& item);
   StoreError read_chunk(const StoredResult& result, std::size_t chunk, std::string& raw);
-  File* reader(std::uint32_t segment);
+  File* reader(std::uint32_t segment, StoreError& error);
   void count(const StoredResult& result, int sign);
   void remove_dead();
 
