--- /dev/null
+++ b/bench/spool_bench.cpp
@@ -0,0 +1,363 @@
+// What the spool costs and brings. Everything is a ratio or a count within this one run; the last line is JSON.
+#include <CLI/CLI.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdio>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <pcg_random.hpp>
+#include <queue>
+
+#include "base/timing_wheel.h"
+#include "bench/bench.h"
+#include "net/engine_line.h"
+#include "spool/logic/page_index.h"
+#include "spool/store/segment_store.h"
+#include "standins/site.h"
+
+namespace {
+
+using namespace steprail;
+using namespace steprail::standin;
+using namespace steprail::bench;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// ---- Structures against plain ones ----
+
+// Half of all timers are taken back before they fire, as leases are that their readers renew.
+json wheel_over_heap(std::size_t n, int rounds) {
+  using Micros = std::chrono::microseconds;
+  pcg32 random(7);
+  std::vector<std::int64_t> due(n);
+  for (auto& at : due) at = 1000 + random(30'000'000);
+  const double wheel = ns_each(n, rounds, [&] {
+    TimingWheel timers(Micros{1000}, Micros{0});
+    std::vector<TimingWheel::Timer> set(n);
+    std::size_t fired = 0;
+    for (std::size_t i = 0; i < n; ++i) set[i] = timers.schedule(Micros{due[i]}, i);
+    for (std::size_t i = 0; i < n; i += 2) timers.cancel(set[i]);
+    for (std::int64_t now = 0; timers.size() > 0; now += 100'000)
+      timers.advance(Micros{now}, [&](std::uint64_t) { ++fired; });
+    if (fired != n / 2) std::abort();
+  });
+  const double heap = ns_each(n, rounds, [&] {
+    using Entry = std::pair<std::int64_t, std::size_t>;
+    std::priority_queue<Entry, std::vector<Entry>, std::greater<>> timers;
+    std::vector<bool> gone(n);
+    std::size_t fired = 0;
+    for (std::size_t i = 0; i < n; ++i) timers.push({due[i], i});
+    for (std::size_t i = 0; i < n; i += 2) gone[i] = true;
+    for (std::int64_t now = 0; !timers.empty(); now += 100'000) {
+      while (!timers.empty() && timers.top().first <= now) {
+        fired += !gone[timers.top().second];
+        timers.pop();
+      }
+    }
+    if (fired != n / 2) std::abort();
+  });
+  return wheel / heap;
+}
+
+json index_over_map(std::size_t n, int rounds) {
+  pcg32 random(11);
+  spool::PageIndex index;
+  std::map<std::uint64_t, std::size_t> tree;
+  for (std::size_t page = 0; page < n; ++page) {
+    tree[index.rows()] = page;
+    index.add(40 + random(40), 6000);
+  }
+  constexpr std::size_t kLookups = 200'000;
+  std::vector<std::uint64_t> rows(kLookups);
+  for (auto& row : rows) row = random(static_cast<std::uint32_t>(index.rows()));
+  std::size_t sum = 0, other = 0;
+  const double flat = ns_each(kLookups, rounds, [&] {
+    for (const std::uint64_t row : rows) sum += index.page_of(row);
+  });
+  const double map = ns_each(kLookups, rounds, [&] {
+    for (const std::uint64_t row : rows) other += std::prev(tree.upper_bound(row))->second;
+  });
+  if (sum != other) std::abort();
+  return flat / map;
+}
+
+// ---- The store ----
+
+json store_figures(bool quick) {
+  const Folder folder;
+  const std::size_t results = quick ? 128 : 512, pages = 340;  // of 2 MB each
+  std::string page;
+  pcg32 random(3);
+  while (page.size() < 6000) page.push_back(static_cast<char>('a' + random(26)));
+  double append = 0;
+  const double bytes = static_cast<double>(results * pages) * 6000;
+  {
+    const auto files = spool::posix_files(folder.path("spool"));
+    const auto index = spool::lmdb_index(folder.path("spool"), 64u << 20);
+    spool::SegmentStore store(*files, *index, {8ull << 30, 64u << 20, 0});
+    store.recover(0);
+    const auto start = Time::now();
+    for (std::size_t i = 0; i < results; i += 8) {
+      std::vector<spool::SegmentStore::Item> items(8);
+      for (std::size_t j = 0; j < 8; ++j) {
+        items[j].meta.id = i + j + 1;
+        items[j].meta.handle = "h";
+        items[j].meta.give_up_unix_us = items[j].meta.left_us = 1'000'000'000;
+        items[j].pages.assign(pages, page);
+        items[j].meta.pages.assign(pages, {60, 6000});
+      }
+      store.put(items);
+    }
+    append = bytes / seconds_since(start);
+  }
+  const auto files = spool::posix_files(folder.path("plain"));
+  const auto file = files->create("plain");
+  const std::string block(48u << 10, 'x');
+  auto start = Time::now();
+  double plain = 0;
+  // The same bytes and the same number of syncs.
+  for (std::size_t i = 0; i < results; i += 8) {
+    for (double written = 0; written < 8 * 340 * 6000; written += static_cast<double>(block.size())) {
+      const std::string_view piece = block;
+      file->append({&piece, 1});
+    }
+    file->sync();
+  }
+  plain = bytes / seconds_since(start);
+  const auto again = spool::posix_files(folder.path("spool"));
+  const auto index = spool::lmdb_index(folder.path("spool"), 64u << 20);
+  spool::SegmentStore store(*again, *index, {8ull << 30, 64u << 20, 0});
+  start = Time::now();
+  const auto found = store.recover(1);
+  const double recovery = seconds_since(start);
+  if (found.whole.size() != results) std::abort();
+  return {{"append_mb_per_s", append / 1e6},
+          {"append_over_plain_write", append / plain},
+          {"recovery_ms_per_gb", recovery * 1000 / (static_cast<double>(found.bytes_read) / 1e9)}};
+}
+
+// ---- The engine's session ----
+
+std::string conf(const std::string& memory, const std::string& more = {}) {
+  return "spool {\n  listen 127.0.0.1:0\n  memory " + memory + "\n  result-most 1m\n  window-most 64k\n" + more + "}\n";
+}
+
+json session_figures() {
+  Site::Options options;
+  options.script->rows = 3000;
+  options.script->row_bytes = 100;
+  options.script->runs_for = milliseconds(10);
+  options.conf = conf("64m");
+  Site site(options);
+  const std::string id = "00000000000000a1";
+  const auto reader = site.reader();
+  reader->call("submit", 1, request(id), "select 1 from a_7.t");
+  const auto opened = site.reply(*reader);
+  if (!opened || opened->field != 0) std::abort();
+  const Span span = site.engines[0]->spans().at(0);
+  const double spooled = std::chrono::duration<double>(span.freed - span.opened).count();
+  // The direct way: pages are read from the engine itself, as slowly as the reader takes them.
+  const double reading = 100 * spooled;
+  tcp::socket socket(site.io);
+  socket.connect(*parse_address(site.engines[0]->address()));
+  const std::string statement = "select 1 from a_7.t", direct_id = "00000000000000b2";
+  const auto say = [&](const std::string& text) { boost::asio::write(socket, boost::asio::buffer(text)); };
+  say("serve " + direct_id + " lane=report,ttl=60000 " + std::to_string(statement.size()) + "\r\n" + statement + "\r\n");
+  constexpr std::size_t kPages = 50;
+  std::size_t page = 1;
+  const auto start = Time::now();
+  socket.non_blocking(true);
+  site.until([&] {
+    char bytes[65536];
+    boost::system::error_code error;
+    socket.read_some(boost::asio::buffer(bytes), error);
+    if (page < kPages && seconds_since(start) > reading * static_cast<double>(page) / kPages)
+      say("read " + direct_id + ' ' + std::to_string(page++) + "\r\n");
+    return page == kPages && site.open_sessions() == 0;
+  });
+  const Span slow = site.engines[0]->spans().at(1);
+  const double direct = std::chrono::duration<double>(slow.freed - slow.opened).count();
+  return {{"session_ratio", direct / spooled}, {"session_spooled_ms", spooled * 1000}, {"session_direct_ms", direct * 1000}};
+}
+
+// ---- Memory with stalled readers ----
+
+json memory_figures(const std::string& program, bool quick) {
+  const std::size_t readers = quick ? 500 : 2000;
+  const std::uint64_t budget = quick ? 128u << 20 : 256u << 20;
+  Site::Options options;
+  options.engines = 8;
+  options.script->rows = 5000;  // 500 KB each
+  options.script->row_bytes = 100;
+  options.hard_limit = milliseconds(60'000);
+  options.change = [&](json& config) {
+    config["limits"]["sockets"] = 16'384;
+    config["limits"]["memory_mb"] = 2048;
+  };
+  options.conf = conf(std::to_string(budget >> 20) + "m", "  sessions 2500\n  unread-most 256k\n  lease 5s\n");
+  Site site(options);
+  site.kill();
+  Process process({program, "serve", "--config", site.folder.path("config.json"), "--conf", site.folder.path("steprail.conf")},
+                  "serving as");
+  const double idle = process.memory("VmRSS");
+  const tcp::endpoint to{boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(process.reader_port)};
+  std::vector<std::unique_ptr<Client>> stalled;
+  std::size_t kept = 0, refused = 0;
+  for (std::size_t i = 0; i < readers; ++i) {
+    stalled.push_back(std::make_unique<Client>(site.io, to));
+    char id[17];
+    std::snprintf(id, sizeof id, "%016zx", i + 1);
+    stalled.back()->call("submit", 1, request(id, "report", i % 2 == 0 ? "acme" : "umbra", 50'000), "select 1 from a_7.t");
+    std::optional<Reply> reply;
+    site.until([&] { return (reply = stalled.back()->take()).has_value() || stalled.back()->ended(); });
+    const bool good = reply && reply->field == 0 && !reply->at("handle").empty();
+    ++(good ? kept : refused);
+    // Asks for all of it, and reads nothing.
+    for (int call = 2; good && call < 20; ++call)
+      stalled.back()->call("fetch", call,
+                           {{"handle", reply->at("handle")}, {"team", i % 2 == 0 ? "acme" : "umbra"}, {"row", "0"}, {"window", "65536"}});
+  }
+  const double peak = process.memory("VmHWM");
+  return {{"memory_peak_over_budget", peak / static_cast<double>(budget)},
+          {"memory_idle_mb", idle / 1e6},
+          {"stalled_readers", readers},
+          {"stalled_kept", kept},
+          {"stalled_refused", refused}};
+}
+
+// ---- The ordinary path ----
+
+double cost_of_round(Site& site, Client& client, const Process& process, int requests, std::uint64_t& next) {
+  const double before = process.cpu_seconds();
+  int open = 0, done = 0, asked = 0;
+  while (done < requests) {
+    while (open < 16 && asked < requests) {
+      char id[17];
+      std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++next));
+      client.call("execute", ++asked, request(id, "lookup"), "select 1 from a_7.t");
+      ++open;
+    }
+    if (!site.until([&] {
+          bool any = false;
+          while (client.take()) ++done, --open, any = true;
+          return any || client.ended();
+        }) || client.ended())
+      std::abort();
+  }
+  return process.cpu_seconds() - before;
+}
+
+json cost_figures(const std::string& program, const std::string& before, bool quick) {
+  Site::Options options;
+  options.engines = 4;
+  options.conf = conf("64m");
+  Site site(options);
+  site.kill();
+  struct Variant {
+    std::string name;
+    std::unique_ptr<Site> listen;
+    std::unique_ptr<Process> process;
+    std::unique_ptr<Client> client;
+    std::vector<double> costs;
+  };
+  std::vector<Variant> variants;
+  const auto add = [&](const std::string& name, const std::string& path, bool on) {
+    // A port that is free now: the program is told where to listen.
+    tcp::acceptor probe(site.io, {boost::asio::ip::address_v4::loopback(), 0});
+    const int port = probe.local_endpoint().port();
+    probe.close();
+    json config = site.config;
+    config["listen"] = "127.0.0.1:" + std::to_string(port);
+    const std::string file = name + ".json";
+    site.folder.write(file, config.dump());
+    std::vector<std::string> words{path, "serve", "--config", site.folder.path(file)};
+    if (on) words.insert(words.end(), {"--conf", site.folder.path("steprail.conf")});
+    Variant variant{name, nullptr, std::make_unique<Process>(words, "serving as"), nullptr, {}};
+    variant.client = std::make_unique<Client>(site.io, tcp::endpoint{boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)});
+    variants.push_back(std::move(variant));
+  };
+  if (!before.empty()) add("before", before, false);
+  add("off", program, false);
+  add("on", program, true);
+  const int requests = quick ? 2000 : 4000, rounds = quick ? 11 : 61;
+  std::uint64_t next = 0;
+  for (Variant& variant : variants) cost_of_round(site, *variant.client, *variant.process, requests / 4, next);
+  for (int round = 0; round < rounds; ++round) {
+    // The order turns, so that what a round leaves behind burdens each alike.
+    for (std::size_t i = 0; i < variants.size(); ++i) {
+      Variant& variant = variants[(i + static_cast<std::size_t>(round)) % variants.size()];
+      variant.costs.push_back(cost_of_round(site, *variant.client, *variant.process, requests, next));
+    }
+  }
+  const auto ratio = [&](const Variant& a, const Variant& b) {
+    std::vector<double> ratios;
+    for (std::size_t i = 0; i < a.costs.size(); ++i) ratios.push_back(a.costs[i] / b.costs[i]);
+    return median(ratios);
+  };
+  json out = {{"ordinary_us_a_request", median(variants.back().costs) / requests * 1e6},
+              {"ordinary_cost_on_over_off", ratio(variants[variants.size() - 1], variants[variants.size() - 2])},
+              {"ordinary_idle_rss_off_mb", variants[variants.size() - 2].process->memory("VmRSS") / 1e6}};
+  if (!before.empty()) {
+    out["ordinary_cost_ratio_off"] = ratio(variants[1], variants[0]);
+    out["ordinary_cost_ratio_on"] = ratio(variants[2], variants[0]);
+    out["ordinary_rss_before_mb"] = variants[0].process->memory("VmRSS") / 1e6;
+  }
+  return out;
+}
+
+json bytes_left() {
+  Site::Options options;
+  options.script->rows = 1000;
+  options.script->row_bytes = 100;
+  options.conf = conf("16m", "  lease 200ms\n");
+  Site site(options);
+  std::vector<std::unique_ptr<Client>> readers;
+  for (int i = 0; i < 50; ++i) {
+    readers.push_back(site.reader());
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", i + 1);
+    readers.back()->call("submit", 1, request(id), "select 1 from a_7.t");
+    site.reply(*readers.back());
+  }
+  readers.clear();
+  site.until([&] { return site.server->spool()->bytes_held() == 0; }, std::chrono::seconds(5));
+  return site.server->spool()->bytes_held();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"what the spool costs and brings"};
+  bool quick = false;
+  std::string program = STEPRAIL, before, only;
+  app.add_flag("--quick", quick, "under 20 s");
+  app.add_option("--program", program, "the program to measure");
+  app.add_option("--before", before, "an earlier build of it, to compare the ordinary path with");
+  app.add_option("--only", only, "one part: structures, store, session, memory, cost, left");
+  CLI11_PARSE(app, argc, argv);
+  most_descriptors();
+  json out = {{"bench", "spool"}, {"quick", quick}};
+  const auto part = [&](const std::string& name, const std::function<json()>& run) {
+    if (!only.empty() && only != name) return;
+    std::cout << name << " ..." << std::endl;
+    const json found = run();
+    if (!found.is_null()) out.update(found);
+    std::cout << "  " << found.dump() << std::endl;
+  };
+  part("structures", [&] {
+    json found;
+    for (const std::size_t n : {std::size_t{1000}, std::size_t{100'000}, std::size_t{1'000'000}}) {
+      const int rounds = n > 100'000 ? (quick ? 2 : 5) : 9;
+      found["wheel_over_heap"][std::to_string(n)] = wheel_over_heap(n, rounds);
+      found["index_over_map"][std::to_string(n)] = index_over_map(n, rounds);
+    }
+    return found;
+  });
+  part("store", [&] { return store_figures(quick); });
+  part("session", [&] { return session_figures(); });
+  part("memory", [&] { return memory_figures(program, quick); });
+  part("cost", [&] { return cost_figures(program, before, quick); });
+  part("left", [&] { return json{{"bytes_left", bytes_left()}}; });
+  std::cout << out.dump() << std::endl;
+  return 0;
+}
--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace steprail {
@@ -49,14 +50,14 @@
   void push(std::string piece, std::uint64_t tag = 0) {
     if (piece.empty()) return;
     size_ += piece.size();
-    pieces_.push_back({std::move(piece), tag, nullptr, 0, 0});
+    pieces_.push_back({std::move(piece), tag});
   }
   // Bytes that others hold as well: they are written from where they are.
   void push(std::shared_ptr<const std::string> shared, std::size_t from, std::size_t to) {
     if (from >= to) return;
     size_ += to - from;
     shared_size_ += to - from;
-    pieces_.push_back({{}, 0, std::move(shared), from, to});
+    pieces_.push_back({Shared{std::move(shared), from, to}, 0});
   }
   bool empty() const { return pieces_.empty(); }
   std::size_t size() const { return size_; }
@@ -80,7 +81,7 @@
     while (!pieces_.empty() && count >= pieces_.front().view().size()) {
       const Piece& front = pieces_.front();
       count -= front.view().size();
-      if (front.shared) shared_size_ -= front.view().size();
+      if (front.shared()) shared_size_ -= front.view().size();
       pieces_.pop_front();
     }
     sent_ = count;
@@ -98,7 +99,7 @@
   bool take_back(std::uint64_t tag) {
     for (auto at = pieces_.begin(); at != pieces_.end(); ++at) {
       if (at->tag != tag || (at == pieces_.begin() && sent_ > 0)) continue;
-      size_ -= at->bytes.size();
+      size_ -= at->view().size();
       pieces_.erase(at);
       return true;
     }
@@ -106,13 +107,18 @@
   }
 
  private:
+  struct Shared {
+    std::shared_ptr<const std::string> whole;
+    std::size_t from{0}, to{0};
+  };
   struct Piece {
-    std::string bytes;
+    std::variant<std::string, Shared> bytes;
     std::uint64_t tag{};
-    std::shared_ptr<const std::string> shared{};  // in place of bytes
-    std::size_t from{0}, to{0};                   // of it
+    bool shared() const { return bytes.index() == 1; }
     std::string_view view() const {
-      return shared ? std::string_view(*shared).substr(from, to - from) : std::string_view(bytes);
+      if (const auto* own = std::get_if<std::string>(&bytes)) return *own;
+      const Shared& part = std::get<Shared>(bytes);
+      return std::string_view(*part.whole).substr(part.from, part.to - part.from);
     }
   };
   std::deque<Piece> pieces_;
--- a/tests/spool/logic_test.cpp
+++ b/tests/spool/logic_test.cpp
@@ -295,7 +295,7 @@
 }
 
 // Guards against the same result going back and forth about one mark.
-TEST_CASE("spool: between the marks nothing moves; above the high one the highest tenant's oldest go to disk") {
+TEST_CASE("spool: between the marks nothing moves, above the high one the highest tenant's oldest go to disk") {
   World w(true);
   const auto keep = [&](ResultId id, std::size_t tenant) {
     REQUIRE(w.logic.submitted(id, tenant, "h" + std::to_string(id), kNoReader, Micros{99'000'000}));
--- a/tests/spool/story_test.cpp
+++ b/tests/spool/story_test.cpp
@@ -354,7 +354,7 @@
   CHECK(held(site) <= 4u << 20);
 }
 
-TEST_CASE("spool: a reload below what is in use keeps what is there; a bad one changes nothing") {
+TEST_CASE("spool: a reload below what is in use keeps what is there, a bad one changes nothing") {
   Site site(long_reports());
   const auto reader = site.reader();
   const Reply opened = submit(site, *reader, kId);
