--- a/src/base/timing_wheel.h
+++ b/src/base/timing_wheel.h
@@ -81,6 +81,8 @@
   }
 
   std::size_t size() const { return size_; }
+  // What the last advance() has come to.
+  Micros now() const { return tick_ * static_cast<std::int64_t>(present_); }
 
  private:
   static constexpr int kLevels = 6, kDigit = 6;
