--- a/src/edge/logic/channel.h
+++ b/src/edge/logic/channel.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
-#include <optional>
+#include <cstddef>
+#include <vector>
 
 namespace steprail::edge {
 
@@ -33,7 +33,7 @@
     return next_++;
   }
   // The next message to be transmitted on this connection, if there is one.
-  Body* peek() { return cursor_ == next_ ? nullptr : &sent_[cursor_ - base_]; }
+  Body* peek() { return cursor_ == next_ ? nullptr : &at(cursor_); }
   Seq cursor() const { return cursor_; }
   void transmitted() { ++cursor_; }
   // A new connection: the peer has everything before `have`. False where that cannot be.
@@ -48,21 +48,29 @@
     if (before(next_, have)) return Acked::kForged;
     if (!before(base_, have)) return Acked::kOld;
     while (base_ != have) {
-      each(base_, sent_.front());
-      sent_.pop_front();
+      each(base_, sent_[head_]);
+      sent_[head_++] = Body{};
       ++base_;
     }
+    // An idle session keeps no memory for what it once had in flight.
+    if (head_ == sent_.size()) {
+      sent_ = {};
+      head_ = 0;
+    } else if (head_ > 32 && head_ > sent_.size() / 2) {
+      sent_.erase(sent_.begin(), sent_.begin() + static_cast<std::ptrdiff_t>(head_));
+      head_ = 0;
+    }
     if (before(cursor_, base_)) cursor_ = base_;
     return Acked::kNews;
   }
   Acked acknowledge(Seq have) {
     return acknowledge(have, [](Seq, Body&) {});
   }
-  std::size_t unacknowledged() const { return sent_.size(); }
+  std::size_t unacknowledged() const { return sent_.size() - head_; }
   std::size_t in_flight() const { return cursor_ - base_; }
   Seq base() const { return base_; }
   Seq next() const { return next_; }
-  Body& at(Seq number) { return sent_[number - base_]; }
+  Body& at(Seq number) { return sent_[head_ + (number - base_)]; }
   bool holds(Seq number) const { return !before(number, base_) && before(number, next_); }
 
   // ---- In ----
@@ -77,7 +85,8 @@
   Seq have() const { return expected_; }
 
  private:
-  std::deque<Body> sent_;
+  std::vector<Body> sent_;
+  std::size_t head_{0};  // of what is unacknowledged
   Seq next_, cursor_, base_;
   Seq expected_;
 };
--- a/src/edge/logic/ledger_logic.cpp
+++ b/src/edge/logic/ledger_logic.cpp
@@ -84,7 +84,7 @@
   entries_[key] = entry;
   const std::uint64_t timer = ++last_timer_;
   timers_[timer] = key;
-  wheel_.schedule(wheel_.now() + settings_.keep, timer);
+  wheel_.schedule(wheel_.now() + (once ? settings_.keep : settings_.keep_repeatable), timer);
   if (durable) {
     // What the disk says is 'may have run': it is dispatched as soon as that is there.
     entry.fate = Fate::kDispatched;
@@ -100,9 +100,12 @@
   return true;
 }
 
-void LedgerLogic::not_recorded(const Key& key) {
+void LedgerLogic::not_recorded(const Key& key, const Outcome& outcome) {
   const auto at = entries_.find(key);
-  if (at != entries_.end() && at->second.fate == Fate::kTaken) entries_.erase(at);
+  if (at == entries_.end() || at->second.fate != Fate::kTaken) return;
+  move(at->second, Fate::kAnswered);
+  move(at->second, Fate::kTold);
+  at->second.outcome = outcome;
 }
 
 bool LedgerLogic::answered(const Key& key, const Outcome& outcome, std::vector<Record>& out) {
@@ -145,8 +148,9 @@
       wheel_.schedule(now + settings_.keep, next);
       return;
     }
-    const bool durable = at->second.once && settings_.durable;
+    const bool once = at->second.once, durable = once && settings_.durable;
     entries_.erase(at);
+    if (!once) return;  // run again, it does no harm
     // From now on the number itself is too old: with the entry gone, nothing else says that it was ever here.
     auto& mark = marks_[{key.tenant, key.device}];
     if (key.number > mark) {
--- a/src/edge/logic/ledger_logic.h
+++ b/src/edge/logic/ledger_logic.h
@@ -41,7 +41,7 @@
 
 // What a device is told in the end.
 struct Outcome {
-  enum class How : std::uint8_t { kServed, kRefused, kFailed, kUnknown, kTooLate } how{How::kFailed};
+  enum class How : std::uint8_t { kServed, kRefused, kFailed, kUnknown } how{How::kFailed};
   bool again{false};           // sending it anew, under a new key, is harmless
   Micros later{0};             // refused: when
   std::uint64_t request{};     // served: the spool's result
@@ -63,7 +63,8 @@
 
 struct LedgerSettings {
   bool durable{false};
-  Micros keep{24ll * 3600 * 1'000'000};  // how long an entry lives
+  Micros keep{24ll * 3600 * 1'000'000};  // how long the entry of what must not run twice lives
+  Micros keep_repeatable{60'000'000};    // of the others: longer than any is under way
   std::size_t entries_most{1'000'000};
   bool operator==(const LedgerSettings&) const = default;
 };
@@ -91,8 +92,9 @@
   bool take(const Key& key, std::uint64_t digest, bool once, std::uint64_t request, std::vector<Record>& out);
   // That record is on the disk: dispatch it now. False where the entry has ended meanwhile.
   bool dispatched(const Key& key);
-  // It will never be on the disk: the request was not dispatched and is not.
-  void not_recorded(const Key& key);
+  // It will never be on the disk: the request was not dispatched and is not. `outcome` is what is told of it, to all
+  // who ask while this process lives: one that crosses it must not be run after all.
+  void not_recorded(const Key& key, const Outcome& outcome);
   // The request's answer. True where it must be durable before it is told.
   bool answered(const Key& key, const Outcome& outcome, std::vector<Record>& out);
   // The outcome's record is on the disk, or never will be: then the outcome is unknown, once and for good.
--- a/standins/lab.cpp
+++ b/standins/lab.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <thread>
 
+#include "standins/edge_sim.h"
 #include "standins/site.h"
 
 namespace {
@@ -88,6 +89,22 @@
   return 0;
 }
 
+int simulate_seeds(SimOptions options, std::uint64_t seeds) {
+  std::uint64_t bad = 0, requests = 0, answers = 0, twice = 0, unknown = 0, loads = 0, crashes = 0, cuts = 0;
+  for (; seeds > 0; --seeds, ++options.seed) {
+    const SimResult result = simulate(options);
+    for (const std::string& line : result.history) std::cout << line << '\n';
+    for (const std::string& fault : result.faults) std::cout << "seed " << options.seed << ": " << fault << '\n';
+    bad += !result.faults.empty();
+    requests += result.requests, answers += result.answers, twice += result.loads_run_twice;
+    unknown += result.unknown, loads += result.loads, crashes += result.crashes, cuts += result.cuts;
+  }
+  std::cout << requests << " requests, " << answers << " final answers, " << loads << " loads, " << twice
+            << " run twice, " << unknown << " unknown; " << crashes << " crashes, " << cuts << " cuts; " << bad
+            << " seeds with faults\n";
+  return bad == 0 ? 0 : 1;
+}
+
 int read_slowly(const std::string& address, const Fields& fields, const std::string& statement, std::size_t pace) {
   const auto to = parse_address(address);
   if (!to) return std::cerr << "no address: " << address << '\n', 1;
@@ -135,6 +152,19 @@
   engine->add_option("--row-bytes", script.row_bytes, "bytes of each row");
   engine->add_option("--runs-ms", runs_ms, "how long each query runs");
   engine->add_option("--seconds", seconds, "ends after so long")->check(CLI::Range(1, 3600));
+  CLI::App* sim = app.add_subcommand("edge-sim", "devices, bad links and crashes in virtual time; one seed, one history");
+  SimOptions options;
+  std::uint64_t seeds = 1;
+  bool memory = false;
+  sim->add_option("--seed", options.seed, "the first seed");
+  sim->add_option("--seeds", seeds, "so many, from that one on");
+  sim->add_option("--devices", options.devices, "devices")->check(CLI::Range(1, 1000));
+  sim->add_option("--requests", options.requests, "requests of each device")->check(CLI::Range(1, 10000));
+  sim->add_flag("--memory", memory, "the ledger has no disk");
+  sim->add_flag("--record-after-dispatch", options.record_after_dispatch, "broken on purpose");
+  sim->add_flag("--trust-acknowledgements", options.trust_acknowledgements, "broken on purpose");
+  sim->add_flag("--ignore-incarnation", options.ignore_incarnation, "broken on purpose; with --memory");
+  sim->add_flag("--trace", options.trace, "print the history");
   CLI::App* reader = app.add_subcommand("reader", "a reader of the spool's service, at a pace of its own");
   std::string address, id = "00000000000000d4", team = "acme", verb = "report", statement = "select 1 from a_1.t";
   std::size_t pace = 100000;
@@ -150,6 +180,10 @@
   try {
     if (*demonstration) return demo();
     script.runs_for = std::chrono::milliseconds(runs_ms);
+    if (*sim) {
+      options.durable = !memory;
+      return simulate_seeds(options, seeds);
+    }
     if (*engine) return serve_engine(script, seconds);
     return read_slowly(address, request(id, verb, team, limit), statement, pace);
   } catch (const std::exception& fault) {
