--- /dev/null
+++ b/src/edge/fronts.h
@@ -0,0 +1,57 @@
+// The edge's two fronts on one listener: WebSocket, and HTTP/1.1 long poll for links that let nothing else through.
+// docs/protocol/edge.md has paths, subprotocols and limits.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "edge/codec.h"
+#include "edge/edge.h"
+
+namespace steprail::edge {
+
+using boost::asio::ip::tcp;
+
+class Fronts {
+ public:
+  struct Limits {
+    std::size_t connections{256};
+    Micros poll_wait{25'000'000};
+  };
+  Fronts(Strand strand, EventLog& log, Edge& edge, Limits limits);
+  ~Fronts();
+  Fronts(const Fronts&) = delete;
+  Fronts& operator=(const Fronts&) = delete;
+
+  // Throws boost::system::system_error where the address cannot be had.
+  tcp::endpoint listen(const tcp::endpoint& at);
+  void set_limits(const Limits& limits) { limits_ = limits; }
+  // Nothing is left to be written.
+  bool written_out() const;
+  std::size_t connections() const { return connections_; }
+
+ private:
+  class Http;
+  class WebSocket;
+  class Poll;
+  void accept();
+  std::shared_ptr<Poll> find(const std::string& link) const;
+  void sweep();
+
+  Strand strand_;
+  EventLog& log_;
+  Edge& edge_;
+  Limits limits_;
+  tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_, sweep_;
+  bool accepting_{false};
+  std::size_t connections_{0}, writing_{0};
+  std::unordered_map<std::string, std::shared_ptr<Poll>> polls_;
+  std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+};
+
+}  // namespace steprail::edge
--- a/src/operator.cpp
+++ b/src/operator.cpp
@@ -31,6 +31,7 @@
       .required()
       .take([&into](const Given& given) { return into.metrics_file = given.text(0), std::string(); });
   spool::register_spool(schema, into.spool);
+  edge::register_edge(schema, into.edge);
 }
 
 OperatorConf read_operator(const std::string& path) {
@@ -53,6 +54,10 @@
 }
 
 std::string misfit(const OperatorConf& conf, std::size_t memory_mb, std::size_t sockets) {
+  if (conf.edge.on && !conf.spool.on) return "edge: it keeps its rows in the block 'spool', which is missing";
+  if (conf.edge.on && conf.edge.connections > sockets / 3)
+    return "edge: 'connections' is more than a third of the " + std::to_string(sockets) +
+           " descriptors that the coordinator has";
   if (!conf.spool.on) return {};
   if (conf.spool.logic.memory.most > (static_cast<std::uint64_t>(memory_mb) << 20) * 3 / 4)
     return "spool: 'memory' is more than three quarters of the " + std::to_string(memory_mb) +
@@ -65,7 +70,8 @@
 
 std::string needs_restart(const OperatorConf& running, const OperatorConf& fresh) {
   if (running.metrics_file.empty() != fresh.metrics_file.empty()) return "metrics";
-  return spool::needs_restart(running.spool, fresh.spool);
+  const std::string edge = edge::needs_restart(running.edge, fresh.edge);
+  return edge.empty() ? spool::needs_restart(running.spool, fresh.spool) : edge;
 }
 
 }  // namespace steprail
--- a/src/operator.h
+++ b/src/operator.h
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "conf/schema.h"
+#include "edge/settings.h"
 #include "spool/settings.h"
 
 namespace steprail {
@@ -14,6 +15,7 @@
   LogSettings log;
   std::string metrics_file;  // written at SIGUSR1; empty: SIGUSR1 is not for us
   spool::SpoolSettings spool;
+  edge::EdgeConf edge;
 };
 
 // Registers every part's block; a document that is applied fills `into` in.
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -10,12 +10,14 @@
 constexpr std::chrono::milliseconds kGrace{700};
 constexpr std::chrono::milliseconds kDrainLook{10};
 constexpr std::chrono::seconds kSettle{5};
+constexpr std::chrono::seconds kDrainMost{15};  // for devices to take what is on its way to them
 constexpr std::size_t kStorePart = 8;        // of the memory may be held for slow clients
 constexpr std::size_t kSpoolDescriptors = 16;  // listener, index, a segment being written and those being read
 constexpr std::size_t kOwnDescriptors = 24;  // log, epoll, timers, signals, listener, directory
 }  // namespace
 
-Server::Server(Config config, OperatorConf conf, spool::Substitutes substitutes)
+Server::Server(Config config, OperatorConf conf, spool::Substitutes substitutes,
+               std::unique_ptr<spool::Index> ledger)
     : config_(std::move(config)),
       conf_(std::move(conf)),
       strand_(io_.get_executor()),
@@ -27,12 +29,12 @@
              {.sessions = client_limit(), .store = (config_.memory_mb << 20) / kStorePart}),
       directory_(strand_, coordinator_, log_, config_.tables, config_.directory, reference_time()) {
   coordinator_.attach(engines_);
-  start_parts(std::move(substitutes));
+  start_parts(std::move(substitutes), std::move(ledger));
 }
 
 Server::~Server() = default;
 
-void Server::start_parts(spool::Substitutes substitutes) {
+void Server::start_parts(spool::Substitutes substitutes, std::unique_ptr<spool::Index> ledger) {
   if (conf_.path.empty()) return;
   log_.set(conf_.log);
   const std::string fault = misfit(conf_, config_.memory_mb, config_.sockets);
@@ -45,8 +47,14 @@
                                           std::move(substitutes));
   readers_ = std::make_unique<spool::ReaderFront>(strand_, coordinator_, log_, config_.tables, *spool_,
                                                   reader_limits());
+  if (!conf_.edge.on) return;
+  edge_ = std::make_unique<edge::Edge>(strand_, coordinator_, log_, *metrics_, config_.tables, *spool_, conf_.edge,
+                                       config_.seed, std::move(ledger));
+  edge_fronts_ = std::make_unique<edge::Fronts>(strand_, log_, *edge_, edge_limits());
 }
 
+edge::Fronts::Limits Server::edge_limits() const { return {conf_.edge.connections, conf_.edge.poll_wait}; }
+
 FramedServer::Limits Server::reader_limits() const {
   return {.sessions = conf_.spool.sessions,
           .store = (config_.memory_mb << 20) / kStorePart,
@@ -72,6 +80,13 @@
     const std::string address = reader_endpoint_.address().to_string() + ':' + std::to_string(reader_endpoint_.port());
     log_.event(Level::kInfo, "spool-listening", {{"address", address}});
   }
+  if (edge_fronts_) {
+    const auto at = parse_address(conf_.edge.listen);
+    if (!at) throw std::runtime_error(conf_.path + ": listen is no address: '" + conf_.edge.listen + "'");
+    edge_endpoint_ = edge_fronts_->listen(*at);
+    const std::string address = edge_endpoint_.address().to_string() + ':' + std::to_string(edge_endpoint_.port());
+    log_.event(Level::kInfo, "edge-listening", {{"address", address}, {"home", conf_.edge.logic.home}});
+  }
   endpoint_ = front_.listen(config_.listen);
   front_.set_ready(true);
   log_.line("serving as " + config_.name);
@@ -112,6 +127,10 @@
       spool_->reconfigure(conf_.spool);
       readers_->set_limits(reader_limits());
     }
+    if (edge_) {
+      edge_->reconfigure(conf_.edge);
+      edge_fronts_->set_limits(edge_limits());
+    }
   } catch (const std::exception& fault) {
     log_.line(std::string("configuration kept as it was: ") + fault.what());
   }
@@ -134,7 +153,8 @@
   limits.connections = std::max<std::size_t>(1, config_.sockets - std::min(taken, config_.sockets));
   // Readers' connections and the spool's own files come out of the engines' part.
   const std::size_t spool = conf_.spool.on ? conf_.spool.sessions + kSpoolDescriptors : 0;
-  limits.connections -= std::min(spool, limits.connections - 1);
+  const std::size_t edge = conf_.edge.on ? conf_.edge.connections + kSpoolDescriptors : 0;
+  limits.connections -= std::min(spool + edge, limits.connections - 1);
   return limits;
 }
 
@@ -143,6 +163,7 @@
   log_.line("stopping, " + std::to_string(coordinator_.unanswered()) + " requests open");
   front_.set_ready(false);
   if (readers_) readers_->set_ready(false);
+  if (edge_) edge_->drain();
   grace_.expires_after(kGrace);
   grace_.async_wait([this](boost::system::error_code error) {
     if (error) return;
@@ -150,6 +171,7 @@
     if (readers_) readers_->refuse_new();
     coordinator_.when_empty([this] {
       if (spool_) spool_->store_all();
+      drain_until_ = std::chrono::steady_clock::now() + kDrainMost;
       leave();
     });
   });
@@ -157,6 +179,7 @@
 
 void Server::write_metrics() {
   if (spool_) spool_->observe();
+  if (edge_) edge_->observe();
   if (!errands_) errands_ = std::make_unique<Worker>(1);
   const bool taken = errands_->post([this, path = conf_.metrics_file, text = metrics_->text()] {
     const std::string fault = replace_file(path, text);
@@ -172,7 +195,10 @@
 void Server::leave() {
   // Whole results that only this process has wait for their readers: their leases and give-up times end that.
   const bool spooled = !spool_ || (spool_->settled() && readers_->written_out());
-  if (front_.written_out() && spooled) {
+  // Devices that are there hear their answers; those on dead links have the ledger, and the next process.
+  const bool edged = !edge_ || (edge_->settled() && edge_fronts_->written_out()) ||
+                     std::chrono::steady_clock::now() > drain_until_;
+  if (front_.written_out() && spooled && edged) {
     log_.line("ended, " + std::to_string(log_.broken_count()) + " invariants broken");
     return io_.stop();
   }
--- a/src/server.h
+++ b/src/server.h
@@ -10,6 +10,7 @@
 #include "net/engine_pool.h"
 #include "base/worker.h"
 #include "net/front.h"
+#include "edge/fronts.h"
 #include "operator.h"
 #include "spool/reader_front.h"
 
@@ -18,7 +19,8 @@
 class Server {
  public:
   // Throws std::runtime_error with one plain line where a part that the operator's file turns on cannot be.
-  explicit Server(Config config, OperatorConf conf = {}, spool::Substitutes substitutes = {});
+  explicit Server(Config config, OperatorConf conf = {}, spool::Substitutes substitutes = {},
+                  std::unique_ptr<spool::Index> ledger = nullptr);
   ~Server();
   // From here on clients can come; the loop itself is the caller's, by io().
   void start();
@@ -30,6 +32,9 @@
   tcp::endpoint endpoint() const { return endpoint_; }
   // Of the second service, where it is on.
   tcp::endpoint reader_endpoint() const { return reader_endpoint_; }
+  // Of the edge, where it is on.
+  tcp::endpoint edge_endpoint() const { return edge_endpoint_; }
+  edge::Edge* edge() { return edge_.get(); }
   Metrics* metrics() { return metrics_.get(); }
   spool::Spool* spool() { return spool_.get(); }
   std::uint64_t broken_invariants() const { return log_.broken_count(); }
@@ -40,8 +45,9 @@
   Micros reference_time() const;
   void leave();
   void await_signal();
-  void start_parts(spool::Substitutes substitutes);
+  void start_parts(spool::Substitutes substitutes, std::unique_ptr<spool::Index> ledger);
   FramedServer::Limits reader_limits() const;
+  edge::Fronts::Limits edge_limits() const;
   void write_metrics();
 
   Config config_;
@@ -59,8 +65,11 @@
   std::unique_ptr<Metrics> metrics_;
   std::unique_ptr<spool::Spool> spool_;
   std::unique_ptr<spool::ReaderFront> readers_;
+  std::unique_ptr<edge::Edge> edge_;
+  std::unique_ptr<edge::Fronts> edge_fronts_;
   std::unique_ptr<Worker> errands_;  // the metrics file is written off the loop
-  tcp::endpoint endpoint_, reader_endpoint_;
+  tcp::endpoint endpoint_, reader_endpoint_, edge_endpoint_;
+  std::chrono::steady_clock::time_point drain_until_{};
   bool stopping_{false};
 };
 
--- a/standins/device.h
+++ b/standins/device.h
@@ -154,11 +154,13 @@
   const std::string& token() const { return token_; }
   void set_token(std::string token) { token_ = std::move(token); }
   void forget_token() { token_.clear(); }
+  // As if it had been sent under that incarnation before.
+  void set_first(std::uint64_t key, std::uint64_t first) { requests_.at(key).body.first = first; }
   const std::string& name() const { return name_; }
   edge::Seq have() const { return channel_.have(); }
   bool welcomed() const { return welcomed_; }
   std::string last_error, home;
-  std::int64_t later_ms{0};
+  std::int64_t later_ms{0}, heartbeat_ms{0};
   bool draining{false}, polling{false};
   std::uint64_t sessions{0}, resumes{0};
 
@@ -167,6 +169,7 @@
     token_ = frame.token;
     incarnation_ = frame.incarnation;
     welcomed_ = true;
+    heartbeat_ms = frame.heartbeat_ms;
     if (frame.resumed) {
       ++resumes;
       channel_.resume(frame.have);
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -27,7 +27,8 @@
       script(options.script),
       run_counts(std::make_shared<std::map<std::string, int>>()),
       has_conf_(!options.conf.empty()),
-      substitutes_(options.substitutes) {
+      substitutes_(options.substitutes),
+      ledger_(options.ledger) {
   json rows = json::array();
   for (std::size_t i = 0; i < options.engines; ++i) {
     engines.push_back(std::make_unique<Engine>(io, script, run_counts));
@@ -87,7 +88,7 @@
   server.reset();
   server = std::make_unique<Server>(read_config(folder.path("config.json")),
                                     has_conf_ ? read_operator(folder.path("steprail.conf")) : OperatorConf{},
-                                    substitutes_ ? substitutes_() : spool::Substitutes{});
+                                    substitutes_ ? substitutes_() : spool::Substitutes{}, ledger_ ? ledger_() : nullptr);
   server->start();
 }
 
--- a/standins/site.h
+++ b/standins/site.h
@@ -38,6 +38,7 @@
     std::function<void(nlohmann::json&)> change;
     std::chrono::milliseconds hard_limit{20000};
     std::function<spool::Substitutes()> substitutes;  // at each start
+    std::function<std::unique_ptr<spool::Index>()> ledger;
   };
   explicit Site(Options options);
   ~Site();
@@ -70,6 +71,7 @@
  private:
   bool has_conf_;
   std::function<spool::Substitutes()> substitutes_;
+  std::function<std::unique_ptr<spool::Index>()> ledger_;
 };
 
 // The fields of a request as the site's classes and tenants go.
