Cut off a device that asks on and acknowledges nothing

Cause: every refusal is kept until it is acknowledged, and nothing bounded how many: found on reading the change again. Change: beyond eight messages for each request that may be open, the connection ends with the code unread.

--- a/src/edge/logic/edge_logic.cpp
+++ b/src/edge/logic/edge_logic.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Micros kTick{10'000};
+constexpr std::size_t kUnreadPerAsk = 8;  // messages to a device that it may leave unacknowledged, for each open request
 // Of a timer's key: a connection's, else a session's.
 constexpr std::uint64_t kOfConn = std::uint64_t{1} << 63;
 
@@ -402,6 +403,10 @@
 void EdgeLogic::message(Session& session, const Frame& frame, Micros now, std::vector<Act>& out) {
   if (!acknowledged(session, frame.have, now, out)) return;
   const ConnId conn = session.conn;
+  // Each message may bring an answer, and answers are kept until they are acknowledged: a device that asks on and
+  // acknowledges nothing would fill its replay window without end.
+  if (session.channel.unacknowledged() > kUnreadPerAsk * settings_.asks_most)
+    return turn_away(conn, "unread", "answers are left unacknowledged", true, out);
   switch (session.channel.heard(frame.seq)) {
     case Heard::kGap:
       // In its order on one connection; where polls cross, the device sends it again behind what is here.
--- a/tests/edge/logic_test.cpp
+++ b/tests/edge/logic_test.cpp
@@ -423,3 +423,39 @@
   acts.clear();
   CHECK(logic.memory().used() == 0);
 }
+
+// Guards against a replay window that grows with every refusal to a device that acknowledges none.
+TEST_CASE("edge: a device that asks on and acknowledges nothing is cut off, and its window stays bounded") {
+  EdgeSettings settings;
+  settings.once = {{"report", false}};
+  EdgeLogic logic(settings, Sealer({}), {1}, 7, Micros{0}, 0);
+  std::vector<Act> acts;
+  logic.opened(1, Micros{0});
+  Frame hello;
+  hello.type = Frame::Type::kHello;
+  hello.device = "d";
+  logic.heard(1, hello, Micros{0}, acts);
+  Seq most = 0;
+  bool cut = false;
+  for (Seq n = 1; n <= 5000 && !cut; ++n) {
+    Frame ask;
+    ask.type = Frame::Type::kMessage;
+    ask.seq = n;
+    ask.have = 1;
+    ask.body.kind = Body::Kind::kRequest;
+    ask.body.key = n;
+    ask.body.first = 1;
+    ask.body.verb = "report";
+    ask.body.statement = "select 1";
+    logic.heard(1, ask, Micros{0}, acts);
+    for (const Act& act : acts) {
+      if (const auto* down = std::get_if<ToDevice>(&act)) {
+        if (down->frame.type == Frame::Type::kMessage) most = std::max(most, down->frame.seq);
+        cut |= down->frame.code == "unread";
+      }
+    }
+    acts.clear();
+  }
+  CHECK(cut);
+  CHECK(most <= 8 * settings.asks_most + 1);
+}
