Bound the links of long polls and what is laid by for each

Cause: a link outlives its connection, and a device that sends without polling had acknowledgements laid by without end: found on reading the change again. Change: as many links as connections, 1,024 frames each; messages beyond are sent anew after the next poll. Measured: the fronts' stories pass.

--- a/src/edge/fronts.cpp
+++ b/src/edge/fronts.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t kQueueHigh = 64 << 10;     // bytes to one device, from which on it gets no more for now
 constexpr std::size_t kQueueMost = 4 << 20;
 constexpr Micros kPollGone{60'000'000};          // without a poll the link is given up
-constexpr std::size_t kPollFrames = 64;
+constexpr std::size_t kPollFrames = 64, kPollQueueMost = 1024;
 constexpr std::chrono::milliseconds kAcceptPause{50}, kSweep{1000};
 constexpr const char *kCborProtocol = "steprail.cbor", *kJsonProtocol = "steprail.json";
 
@@ -193,6 +193,9 @@
   bool ended() const { return ended_; }
 
   void send(const Frame& frame) override {
+    // A device that sends and never polls gets no more than so much laid by; what it lacks is sent after its next
+    // poll, and acknowledgements are cumulative.
+    if (queue_.size() >= kPollQueueMost) return;
     queue_.push_back(frame);
     soon();
   }
@@ -330,6 +333,9 @@
 
   void open(const Envelope& envelope) {
     if (envelope.frames.size() != 1) return answer(http::status::bad_request, "hello-first", "one hello opens a link", false);
+    // A link outlives the connection that opened it: their number has a bound of its own.
+    if (fronts_.polls_.size() >= fronts_.limits_.connections)
+      return answer(http::status::service_unavailable, "links", "no room for another link now", true);
     unsigned char bytes[16];
     randombytes_buf(bytes, sizeof bytes);
     char name[33];
