Let quiet long-poll links give way, and hear when a waiting poll hangs up

PollLinks (edge/logic) decides who gives way: links that have ended, then the one heard of longest ago, never one whose poll waits. A waiting poll watches its socket, so that a hang-up frees the place at once. A WebSocket's end lets the listener accept again at once as well.

--- a/src/edge/fronts.cpp
+++ b/src/edge/fronts.cpp
@@ -52,7 +52,9 @@
     ++fronts_.connections_;
   }
   ~WebSocket() override {
-    if (*alive_) --fronts_.connections_;
+    if (!*alive_) return;
+    --fronts_.connections_;
+    fronts_.accept();
   }
 
   void run(http::request<http::string_body> request) {
@@ -183,13 +185,12 @@
  public:
   using Respond = std::function<void(std::vector<Frame>)>;
   Poll(Fronts& fronts, std::string name) : fronts_(fronts), alive_(fronts.alive_), name_(std::move(name)), wait_(fronts.strand_) {
-    heard_ = now();
+    fronts_.links_.open(name_, now());
   }
   void opened(ConnId conn) { conn_ = conn; }
   ConnId conn() const { return conn_; }
   const std::string& name() const { return name_; }
-  Micros heard() const { return heard_; }
-  void touch() { heard_ = now(); }
+  void touch() { fronts_.links_.heard(name_, now()); }
   bool ended() const { return ended_; }
 
   void send(const Frame& frame) override {
@@ -201,19 +202,30 @@
   }
   void close() override {
     ended_ = true;
+    fronts_.links_.end(name_);
     soon();
   }
   // Answers with what there is, as soon as there is something, or with nothing when the wait is over.
-  void poll(Respond respond) {
+  // Returns the poll's number, for left().
+  std::uint64_t poll(Respond respond) {
     touch();
     // One poll at a time: an earlier one was left by its device, or it would not ask again.
     if (respond_) std::exchange(respond_, nullptr)({});
     respond_ = std::move(respond);
+    fronts_.links_.waits(name_, true);
     wait_.expires_after(fronts_.limits_.poll_wait);
     wait_.async_wait([self = shared_from_this(), serial = ++serial_](error_code error) {
       if (!error && *self->alive_ && serial == self->serial_ && self->respond_) self->tell();
     });
     if (!queue_.empty() || ended_) soon();
+    return serial_;
+  }
+  // The device has hung up on that poll: what is told next waits for another.
+  void left(std::uint64_t serial) {
+    if (serial != serial_ || !respond_) return;
+    wait_.cancel();
+    respond_ = nullptr;
+    fronts_.links_.waits(name_, false);
   }
   // What an earlier poll may have lost is transmitted anew, so that what waits here of it must go.
   void forget_messages() {
@@ -233,12 +245,13 @@
   void tell() {
     wait_.cancel();
     const auto respond = std::exchange(respond_, nullptr);
+    fronts_.links_.waits(name_, false);
     std::vector<Frame> frames;
     const std::size_t count = std::min(queue_.size(), kPollFrames);
     frames.assign(queue_.begin(), queue_.begin() + static_cast<std::ptrdiff_t>(count));
     queue_.erase(queue_.begin(), queue_.begin() + static_cast<std::ptrdiff_t>(count));
     respond(std::move(frames));
-    if (ended_ && queue_.empty()) fronts_.polls_.erase(name_);
+    if (ended_ && queue_.empty()) fronts_.drop(name_);
   }
 
   Fronts& fronts_;
@@ -248,7 +261,6 @@
   ConnId conn_{0};
   std::vector<Frame> queue_;
   Respond respond_;
-  Micros heard_{0};
   std::uint64_t serial_{0};
   bool posted_{false}, ended_{false};
 };
@@ -334,8 +346,9 @@
   void open(const Envelope& envelope) {
     if (envelope.frames.size() != 1) return answer(http::status::bad_request, "hello-first", "one hello opens a link", false);
     // A link outlives the connection that opened it: their number has a bound of its own.
-    if (fronts_.polls_.size() >= fronts_.limits_.connections)
-      return answer(http::status::service_unavailable, "links", "no room for another link now", true);
+    const PollLinks::Room room = fronts_.links_.room(fronts_.limits_.connections);
+    if (!room.is) return answer(http::status::service_unavailable, "links", "no room for another link now", true);
+    for (const std::string& link : room.gives_way) fronts_.drop(link);
     unsigned char bytes[16];
     randombytes_buf(bytes, sizeof bytes);
     char name[33];
@@ -350,9 +363,21 @@
   void wait(const std::shared_ptr<Poll>& poll) {
     stream_.expires_never();
     const auto self = shared_from_this();
-    poll->poll([self, name = poll->name()](std::vector<Frame> frames) {
+    waiting_ = true;
+    const std::uint64_t serial = poll->poll([self, name = poll->name()](std::vector<Frame> frames) {
+      self->waiting_ = false;
       if (*self->alive_) self->give(name, std::move(frames));
     });
+    // Nothing is read while a poll waits, so that a device that hangs up would keep its place until the wait is over.
+    stream_.socket().async_wait(tcp::socket::wait_read, [self, poll, serial](error_code error) {
+      if (error || !*self->alive_ || !self->waiting_) return;
+      char byte = 0;
+      error_code ended;
+      self->stream_.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, ended);
+      if (!ended || ended == boost::asio::error::would_block) return;  // its next request is here already
+      poll->left(serial);
+      self->stream_.socket().close(ended);
+    });
   }
 
   void give(const std::string& link, std::vector<Frame> frames) {
@@ -395,7 +420,7 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   Format format_{Format::kJson};
   unsigned version_{11};
-  bool keep_{true};
+  bool keep_{true}, waiting_{false};
 };
 
 // ---- The listener ----
@@ -442,19 +467,20 @@
   return at == polls_.end() ? nullptr : at->second;
 }
 
-// Links of polls have no connection whose end would be heard of.
+void Fronts::drop(const std::string& link) {
+  const auto at = polls_.find(link);
+  if (at == polls_.end()) return;
+  const auto poll = at->second;
+  polls_.erase(at);
+  links_.erase(link);
+  edge_.closed(poll->conn());
+}
+
 void Fronts::sweep() {
   sweep_.expires_after(kSweep);
   sweep_.async_wait([this, alive = alive_](error_code error) {
     if (error || !*alive) return;
-    std::vector<std::shared_ptr<Poll>> gone;
-    for (const auto& [_, poll] : polls_) {
-      if (now() - poll->heard() > std::max(kPollGone, 2 * limits_.poll_wait)) gone.push_back(poll);
-    }
-    for (const auto& poll : gone) {
-      polls_.erase(poll->name());
-      edge_.closed(poll->conn());
-    }
+    for (const std::string& link : links_.silent(now(), std::max(kPollGone, 2 * limits_.poll_wait))) drop(link);
     accept();
     sweep();
   });
--- a/src/edge/fronts.h
+++ b/src/edge/fronts.h
@@ -11,6 +11,7 @@
 
 #include "edge/codec.h"
 #include "edge/edge.h"
+#include "edge/logic/poll_links.h"
 
 namespace steprail::edge {
 
@@ -33,6 +34,7 @@
   // Nothing is left to be written.
   bool written_out() const;
   std::size_t connections() const { return connections_; }
+  std::size_t links() const { return links_.size(); }
 
  private:
   class Http;
@@ -40,6 +42,7 @@
   class Poll;
   void accept();
   std::shared_ptr<Poll> find(const std::string& link) const;
+  void drop(const std::string& link);
   void sweep();
 
   Strand strand_;
@@ -51,6 +54,7 @@
   bool accepting_{false};
   std::size_t connections_{0}, writing_{0};
   std::unordered_map<std::string, std::shared_ptr<Poll>> polls_;
+  PollLinks links_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
 
--- a/tests/edge/logic_test.cpp
+++ b/tests/edge/logic_test.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "edge/logic/edge_logic.h"
+#include "edge/logic/poll_links.h"
 #include "standins/edge_sim.h"
 
 namespace {
@@ -73,6 +74,75 @@
   });
 }
 
+TEST_CASE("edge: links of long polls give way in their order, and none whose poll waits") {
+  rc::prop("against a plain list", [] {
+    struct Plain {
+      std::string name;
+      std::int64_t heard{};
+      bool waits{}, ended{};
+    };
+    std::vector<Plain> plain;
+    PollLinks links;
+    std::int64_t now = 0;
+    int last = 0;
+    const auto most = *rc::gen::inRange<std::size_t>(1, 6);
+    for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 600))) {
+      ++now;
+      const auto at = plain.empty() ? plain.end() : plain.begin() + (step / 6) % static_cast<int>(plain.size());
+      switch (step % 6) {
+        case 0:
+        case 1: {
+          // Who goes: the ended ones first, then those heard of longest ago; never one that waits.
+          auto order = plain;
+          std::erase_if(order, [](const Plain& p) { return p.waits; });
+          std::stable_sort(order.begin(), order.end(), [](const Plain& a, const Plain& b) {
+            return std::pair(!a.ended, a.heard) < std::pair(!b.ended, b.heard);
+          });
+          const std::size_t needed = plain.size() < most ? 0 : plain.size() + 1 - most;
+          const auto room = links.room(most);
+          RC_ASSERT(room.is == (needed <= order.size()));
+          RC_ASSERT(room.gives_way.size() == (room.is ? needed : 0));
+          for (std::size_t i = 0; i < room.gives_way.size(); ++i) {
+            RC_ASSERT(room.gives_way[i] == order[i].name);
+            links.erase(order[i].name);
+            std::erase_if(plain, [&](const Plain& p) { return p.name == order[i].name; });
+          }
+          if (!room.is) break;
+          plain.push_back({"link" + std::to_string(++last), now, false, false});
+          links.open(plain.back().name, Micros{now});
+          break;
+        }
+        case 2:
+          if (at == plain.end()) break;
+          at->heard = now;
+          links.heard(at->name, Micros{now});
+          break;
+        case 3:
+          if (at == plain.end()) break;
+          at->waits = !at->waits;
+          links.waits(at->name, at->waits);
+          break;
+        case 4:
+          if (at == plain.end()) break;
+          at->ended = true;
+          links.end(at->name);
+          break;
+        default: {
+          const auto silent = links.silent(Micros{now}, Micros{20});
+          RC_ASSERT(silent.size() == static_cast<std::size_t>(std::count_if(
+                                         plain.begin(), plain.end(), [&](const Plain& p) { return now - p.heard > 20; })));
+          for (const std::string& name : silent) {
+            links.erase(name);
+            std::erase_if(plain, [&](const Plain& p) { return p.name == name; });
+          }
+        }
+      }
+      RC_ASSERT(links.size() == plain.size());
+      RC_ASSERT(links.size() <= most);
+    }
+  });
+}
+
 TEST_CASE("edge: the gate lets in at its rate, nearest deadlines first, and spreads the others out") {
   Gate gate({100, 10, 500, Micros{2'000'000}}, 7);
   std::vector<Gate::Turned> turned;
--- a/tests/edge/story_test.cpp
+++ b/tests/edge/story_test.cpp
@@ -134,6 +134,21 @@
   }
 }
 
+// Guards against links that nobody polls any more, and polls whose device has hung up, keeping others out.
+TEST_CASE("edge: devices that come and go by long poll leave no places taken") {
+  Site site(options("  connections 12\n"));
+  for (int i = 0; i < 60; ++i) {
+    Tablet tablet(site, "tablet" + std::to_string(i), By::kPoll);
+    tablet.client.connect();
+    tablet.client.ask("report", "select 1 from a_1.t", 9000);
+    REQUIRE(site.until([&] { return tablet.device.idle(); }, std::chrono::seconds(3)));
+    // One that comes back leaves a link of its own behind.
+    if (i % 3 == 0) tablet.client.drop();
+    if (i % 3 == 0) REQUIRE(site.until([&] { return tablet.device.resumes > 0; }, std::chrono::seconds(3)));
+  }
+  CHECK(site.server->edge()->logic().counts().answers == 60);
+}
+
 TEST_CASE("edge: a stall longer than the give-up time ends the request once, and the device hears of it later") {
   Site::Options o = options("  heartbeat-least 200ms\n  heartbeat-most 1s\n");
   o.script->fault = [](const Moment& m) { return m.at == Moment::At::kAck ? Fault::kSilent : Fault::kNone; };
