Tell the story of 2,000 stalled spool readers over loopback

The story opens 2,000 connections that ask for everything over and over and read none of it: no engine session stays open, bytes held stay within the 100 MB budget, another tenant's result comes whole from its reserve, and once the readers are gone the bytes held return to zero.

--- a/tests/spool/story_test.cpp
+++ b/tests/spool/story_test.cpp
@@ -1,5 +1,6 @@
 // Stories of the spool over loopback: a coordinator, stand-in engines, and readers that stall, drop and return.
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -354,6 +355,60 @@
   CHECK(held(site) <= 4u << 20);
 }
 
+TEST_CASE("spool: 2,000 stalled readers at once hold no engine, keep to the budget, and leave nothing") {
+  rlimit limit{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  limit.rlim_cur = limit.rlim_max;
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  constexpr int kReaders = 2000, kAtATime = 10;
+  Site::Options options = long_reports(2);
+  options.change = [](nlohmann::json& config) { config["limits"]["sockets"] = 8192; };
+  options.script->rows = 1000;  // 100 KB: too long for a direct answer
+  constexpr std::uint64_t kBudget = 100u << 20;
+  options.conf = "spool {\n  listen 127.0.0.1:0\n  memory 100m reserved 60%\n  result-most 512k\n  sessions 2500\n"
+                 "  unread-most 16k\n  lease 5s\n}\n";
+  Site site(options);
+  std::vector<std::unique_ptr<Client>> stalled;
+  int kept = 0;
+  std::uint64_t most = 0;
+  for (int from = 0; from < kReaders; from += kAtATime) {
+    for (int i = from; i < from + kAtATime; ++i) {
+      char id[17];
+      std::snprintf(id, sizeof id, "%016x", 0xa0000 + i);
+      stalled.push_back(site.reader());
+      stalled.back()->call("submit", 1, request(id, "report", "acme", 19000), "select * from lessons_3.hours");
+    }
+    for (int i = from; i < from + kAtATime; ++i) {
+      Client& reader = *stalled[static_cast<std::size_t>(i)];
+      const auto opened = site.reply(reader);
+      REQUIRE(opened);
+      // Asks for all of it over and over, and reads none.
+      if (opened->field == 0) {
+        ++kept;
+        for (int call = 2; call < 30; ++call) reader.call("fetch", call, from_row(opened->at("handle"), 0, "65536"));
+      } else {
+        CHECK(opened->at("code") == "spool-full");
+      }
+    }
+    most = std::max(most, held(site));
+  }
+  CHECK(stalled.size() == kReaders);
+  CHECK(kept > 500);
+  CHECK(most <= kBudget);
+  REQUIRE(site.until([&] { return site.open_sessions() == 0; }));
+  // Both kinds of query still have their answers: the other tenant's from its reserve, the direct ones from none.
+  const auto reader = site.reader();
+  const std::string id = "00000000000000f0";
+  const Reply opened = submit(site, *reader, id, "report", "umbra");
+  REQUIRE(opened.field == 0);
+  CHECK(opened.body + rest(site, *reader, opened.at("handle"), 60, "20000", "umbra") == whole(*site.script, id, 1));
+  ask(site, *reader, "release", {{"handle", opened.at("handle")}, {"team", "umbra"}});
+  for (const auto& client : stalled) client->reset();
+  REQUIRE(site.until([&] { return held(site) == 0; }, std::chrono::seconds(60)));
+  CHECK(site.server->spool()->logic().size() == 0);
+  CHECK(site.server->broken_invariants() == 0);
+}
+
 TEST_CASE("spool: a reload below what is in use keeps what is there, a bad one changes nothing") {
   Site site(long_reports());
   const auto reader = site.reader();
