--- a/src/edge/logic/edge_logic.cpp
+++ b/src/edge/logic/edge_logic.cpp
@@ -92,7 +92,7 @@
   if (at->second.session == 0) {
     if (frame.type != Frame::Type::kHello || at->second.hello)
       return turn_away(conn, "hello-first", "a connection begins with one hello", true, out);
-    at->second.hello = frame;
+    at->second.hello = std::make_unique<Frame>(frame);
     std::vector<Gate::Turned> turned;
     gate_.arrive(conn, now + Micros{std::max<std::int64_t>(0, frame.deadline_ms) * 1000}, now, turned);
     for (const Gate::Turned& away : turned) {
@@ -191,7 +191,7 @@
 void EdgeLogic::come_in(ConnId conn, Micros now, std::vector<Act>& out) {
   const auto at = conns_.find(conn);
   if (at == conns_.end() || !at->second.hello) return;
-  const Frame hello = std::move(*at->second.hello);
+  const Frame& hello = *at->second.hello;
   wheel_.cancel(at->second.timer);
   int tenant = 0;
   if (!settings_.tenants.empty()) {
@@ -227,7 +227,9 @@
       }
       if (!before(hello.have, session.channel.base())) {
         ++counts_.resumed;
-        return attach(session, conn, hello, true, now, out);
+        attach(session, conn, hello, true, now, out);
+        at->second.hello.reset();
+        return;
       }
       // It lacks what it has acknowledged, and that is gone: it can't go on from there. What it asked for is in the
       // ledger, and is told again in a session of its own.
@@ -240,21 +242,22 @@
   Session* session = begin(hello, tenant, now, out, why);
   if (session == nullptr) return turn_away(conn, why.c_str(), "no room for another session now", true, out);
   attach(*session, conn, hello, false, now, out);
+  at->second.hello.reset();
 }
 
 EdgeLogic::Session* EdgeLogic::begin(const Frame& hello, int tenant, Micros, std::vector<Act>& out,
                                      std::string& why) {
   const auto t = static_cast<std::size_t>(tenant);
-  auto& own = by_device_[{tenant, hello.device}];
   // A device that keeps beginning anew gives up what it left: the session that was heard of longest ago.
-  while (own.size() >= settings_.sessions_device) {
-    const auto oldest = *std::min_element(own.begin(), own.end(), [&](SessionId a, SessionId b) {
+  for (;;) {
+    const auto own = by_device_.find({tenant, hello.device});
+    if (own == by_device_.end() || own->second.size() < settings_.sessions_device) break;
+    const auto oldest = *std::min_element(own->second.begin(), own->second.end(), [&](SessionId a, SessionId b) {
       return sessions_.at(a).heard < sessions_.at(b).heard;
     });
-    expire(sessions_.at(oldest), out);
+    expire(sessions_.at(oldest), out);  // with its last session the device's place goes as well
   }
   if (sessions_.size() >= settings_.sessions_most || by_tenant_[t] >= settings_.sessions_tenant) {
-    if (own.empty()) by_device_.erase({tenant, hello.device});
     why = "sessions-full";
     return nullptr;
   }
@@ -263,8 +266,9 @@
   Session& session = sessions_.try_emplace(id, first_, settings_).first->second;
   session.id = id;
   session.tenant = tenant;
-  session.device = hello.device;
-  by_device_[{tenant, hello.device}].push_back(id);
+  const auto known = by_device_.try_emplace({tenant, hello.device}).first;
+  known->second.push_back(id);
+  session.device = &known->first.second;
   ++by_tenant_[t];
   ++counts_.sessions_begun;
   return &session;
@@ -296,7 +300,7 @@
   if (resumed) acknowledged(session, hello.have, now, out);
   Frame welcome = frame(Frame::Type::kWelcome);
   welcome.token =
-      sealer_.seal({settings_.home, ledger_.incarnation(), session.id, session.tenant, session.device});
+      sealer_.seal({settings_.home, ledger_.incarnation(), session.id, session.tenant, *session.device});
   welcome.incarnation = ledger_.incarnation();
   welcome.resumed = resumed;
   welcome.have = session.channel.have();
@@ -358,9 +362,9 @@
     if (ask.session == session.id) ask.session = 0;
   }
   wheel_.cancel(session.timer);
-  auto& own = by_device_[{session.tenant, session.device}];
-  std::erase(own, session.id);
-  if (own.empty()) by_device_.erase({session.tenant, session.device});
+  const auto own = by_device_.find({session.tenant, *session.device});
+  std::erase(own->second, session.id);
+  if (own->second.empty()) by_device_.erase(own);
   --by_tenant_[static_cast<std::size_t>(session.tenant)];
   sessions_.erase(session.id);
 }
@@ -444,7 +448,7 @@
 
 void EdgeLogic::request(Session& session, const Body& body, Micros now, std::vector<Act>& out) {
   (void)now;
-  const Key key{session.tenant, session.device, body.key};
+  const Key key{session.tenant, *session.device, body.key};
   const bool must_not_repeat = once(body.verb);
   ++counts_.requests;
   // The edge bounds messages, never queries by its own judgement: who has so many open waits for some to end.
@@ -494,7 +498,7 @@
 }
 
 void EdgeLogic::interrupt(Session& session, std::uint64_t number, Micros now, std::vector<Act>& out) {
-  const Key key{session.tenant, session.device, number};
+  const Key key{session.tenant, *session.device, number};
   const auto running = running_.find(key);
   if (running == running_.end()) return;  // its answer has crossed it
   const RequestId request = running->second;
--- a/src/edge/logic/edge_logic.h
+++ b/src/edge/logic/edge_logic.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -143,7 +144,7 @@
   struct Session {
     SessionId id{};
     int tenant{};
-    std::string device;
+    const std::string* device{};  // where by_device_ has it
     ConnId conn{0};  // 0: detached
     bool room{false};
     Channel<Out> channel;
@@ -167,7 +168,7 @@
   };
   struct Conn {
     SessionId session{0};  // 0: it has not said who it is, or waits to come in
-    std::optional<Frame> hello;
+    std::unique_ptr<Frame> hello;  // while it waits: a frame is large, and an idle session has none
     TimingWheel::Timer timer{TimingWheel::kNone};
   };
   struct Ask {  // a request at the coordinator, or on its way there
--- a/tests/edge/logic_test.cpp
+++ b/tests/edge/logic_test.cpp
@@ -495,6 +495,25 @@
 }
 
 // Guards against a replay window that grows with every refusal to a device that acknowledges none.
+// Guards against a device's only session leaving its place in a table that is still being read (sanitizers see it).
+TEST_CASE("edge: where a device may have one session, each new one takes the place of the one before") {
+  EdgeSettings settings;
+  settings.sessions_device = 1;
+  EdgeLogic logic(settings, Sealer({}), {1}, 7, Micros{0}, 0);
+  std::vector<Act> acts;
+  for (ConnId conn = 1; conn <= 50; ++conn) {
+    Frame hello;
+    hello.type = Frame::Type::kHello;
+    hello.device = "a tablet whose name is not a short one";
+    logic.opened(conn, Micros{static_cast<std::int64_t>(conn)});
+    logic.heard(conn, hello, Micros{static_cast<std::int64_t>(conn)}, acts);
+    CHECK(logic.sessions() == 1);
+    CHECK(logic.live() == 1);
+  }
+  CHECK(logic.counts().sessions_begun == 50);
+  CHECK(logic.counts().expired == 49);
+}
+
 TEST_CASE("edge: a device that asks on and acknowledges nothing is cut off, and its window stays bounded") {
   EdgeSettings settings;
   settings.once = {{"report", false}};
