End a result at the acknowledgement of its last row after a restart as well

The acknowledgement ended a result only in the state that handing out its last row leads to. A result that one process had handed out and the next one recovered never came to that state: its reader's last word left it on the disk until its lease or its give-up time.

--- a/src/spool/logic/spool_logic.cpp
+++ b/src/spool/logic/spool_logic.cpp
@@ -256,7 +256,8 @@
   }
   result.acknowledged = std::max(result.acknowledged, rows);
   touch(grant.id, result, now);
-  if (result.state == State::kRead && result.acknowledged == result.index.rows())
+  // Also of one that a process before this one has handed out to its last row.
+  if (result.acknowledged == result.index.rows())
     end(at, End::kAcknowledged, out);
   return grant;
 }
