Measure the edge's goodput over links with cuts, its durable loads, and the ordinary path with it

The benchmark's links let both kinds of device through or neither, as answers shrink to a tenth on the wire; the durable load's cost was spoilt by a stand-in that looked at all its requests each turn and shared a thread with the coordinator; the ordinary path was not measured with the block `edge` on. Links are now cut every so many times an answer's length as measured, devices ask for as long as the run lasts, the coordinator of the durable loads has its own thread, and the ordinary path's measurement is one piece for both benchmarks. A story gives up a dead link by the edge's suspicion alone.

--- a/bench/edge_bench.cpp
+++ b/bench/edge_bench.cpp
@@ -1,10 +1,13 @@
 // What the edge holds up to and what it costs. Ratios and counts within this one run; the last line is JSON.
 #include <CLI/CLI.hpp>
+#include <cmath>
 #include <iostream>
 #include <malloc.h>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "bench/bench.h"
+#include "bench/ordinary.h"
 #include "edge/edge.h"
 #include "standins/edge_client.h"
 #include "standins/edge_sim.h"
@@ -138,74 +141,131 @@
   options.script->rows = 1;
   options.conf = conf();
   Site site(options);
-  double cost[2] = {};
+  // In turn and several times, so that what warms up or slows down burdens both alike.
+  std::vector<double> cost[2];
   json out;
-  for (const bool durable : {false, true}) {
+  const int rounds = quick ? 3 : 9;
+  for (int run = 0; run < 2 * rounds; ++run) {
+    const bool durable = run % 2 == 1;
     site.kill();
-    site.set_conf(conf(durable ? "  requests 256\n  ledger " + site.folder.path("ledger") + " 64m\n" : "  requests 256\n"));
+    site.set_conf(conf(durable ? "  requests 256\n  ledger " + site.folder.path("ledger" + std::to_string(run)) + " 64m\n"
+                               : "  requests 256\n"));
     site.start();
     Device device("acme", "tablet");
     EdgeClient client(site.io, device, site.server->edge_endpoint(), By::kWebSocketCbor);
     client.connect();
-    site.until([&] { return device.welcomed(); });
-    const int loads = quick ? 1000 : 5000;
-    int asked = 0;
-    std::size_t done = 0;
+    // The coordinator has a thread of its own: it is not to wait for the stand-ins' turns.
+    std::thread coordinator([&] { site.server->io().run(); });
+    const auto step = [&] { site.io.run_one_for(milliseconds(1)); };
+    while (!device.welcomed()) step();
+    const std::size_t loads = quick ? 500 : 2000;
+    std::size_t asked = 0;
     const auto start = Time::now();
-    while (done < static_cast<std::size_t>(loads)) {
-      while (asked < loads && asked - static_cast<int>(done) < 64) client.ask("load", "insert into a_1.t", 9000), ++asked;
-      site.run_for(milliseconds(1));
-      done = 0;
-      for (const auto& [_, request] : device.requests()) done += request.done;
+    while (asked < loads || !device.idle()) {
+      while (asked < loads && device.open() < 128) {
+        client.ask("load", "insert into a_" + std::to_string(asked % 64) + ".t", 9000);
+        ++asked;
+      }
+      step();
+    }
+    cost[durable].push_back(seconds_since(start) / static_cast<double>(loads));
+    site.server->io().stop();
+    coordinator.join();
+    for (const auto& [_, request] : device.requests()) {
+      if (request.outcome.how != edge::Outcome::How::kServed) std::abort();
     }
-    cost[durable] = seconds_since(start) / loads;
     if (durable) {
       const auto* ledger = site.server->edge()->ledger();
-      out["ledger_records_per_commit"] = static_cast<double>(ledger->records()) / static_cast<double>(ledger->commits());
+      // A transaction is one sync: so many durable records share it.
+      out["ledger_commits_per_sync"] = static_cast<double>(ledger->records()) / static_cast<double>(ledger->commits());
     }
   }
-  out["durable_load_over_memory"] = cost[1] / cost[0];
+  out["load_us_in_memory"] = median(cost[0]) * 1e6;
+  out["load_us_durable"] = median(cost[1]) * 1e6;
+  out["durable_load_over_memory"] = median(cost[1]) / median(cost[0]);
   return out;
 }
 
-// Rows delivered in time over links of growing roughness: a device with sessions, and one that simply asks again by a
-// new session each time its link is lost.
+// ---- Goodput ----
+
+// A link that is cut after so many bytes down, exponentially distributed; some cuts are black holes.
+LinkScript cut_link(std::uint64_t seed, double mean_bytes) {
+  pcg32 random(seed);
+  LinkScript script;
+  script.up.delay = script.down.delay = milliseconds(2);
+  script.down.rate = 4'000'000;
+  if (mean_bytes <= 0) return script;
+  const double u = (static_cast<double>(random()) + 1) / 4294967297.0;
+  script.down.at = 1 + static_cast<std::uint64_t>(-std::log(u) * mean_bytes);
+  if (random(20) == 0) script.down.how = LinkScript::How::kHole;
+  return script;
+}
+
+// Devices that ask one report after the other for a set time, over a link that is cut every so many times the length
+// of an answer on the wire: rows of answers that were whole within their limit. With sessions, and without: there
+// each connection begins anew and asks again, under the same key, so that the engine does not run twice for it.
+double rows_in_time(double cuts_an_answer, bool sessions, bool quick, double answer_bytes) {
+  Site::Options options;
+  options.engines = 2;
+  options.script->rows = 600;  // 120 KB
+  options.script->row_bytes = 200;
+  options.conf = conf("  session-keep 60s\n  connections 300\n");
+  Site site(options);
+  const int devices = quick ? 6 : 12;
+  std::vector<std::unique_ptr<Proxy>> proxies;
+  std::vector<std::unique_ptr<Device>> tablets;
+  std::vector<std::unique_ptr<EdgeClient>> clients;
+  const double mean = cuts_an_answer > 0 ? answer_bytes / cuts_an_answer : 0;
+  for (int i = 0; i < devices; ++i) {
+    proxies.push_back(std::make_unique<Proxy>(site.io, site.server->edge_endpoint(), [i, mean](std::size_t n) {
+      return cut_link(static_cast<std::uint64_t>(i) * 7919 + n, mean);
+    }));
+    tablets.push_back(std::make_unique<Device>("acme", "tablet" + std::to_string(i)));
+    tablets.back()->plain = !sessions;
+    clients.push_back(std::make_unique<EdgeClient>(site.io, *tablets.back(), proxies.back()->endpoint(), By::kWebSocketCbor));
+    clients.back()->set_patience(milliseconds(300));
+    clients.back()->connect();
+  }
+  const auto end = Time::now() + milliseconds(quick ? 1200 : 5000);
+  while (Time::now() < end) {
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+      if (tablets[i]->idle()) clients[i]->ask("report", "select 1 from a_1.t", 4000);
+    }
+    site.run_for(milliseconds(1));
+  }
+  double rows = 0;
+  for (const auto& tablet : tablets) {
+    for (const auto& [_, request] : tablet->requests())
+      rows += request.done && request.have_rows == request.outcome.rows ? static_cast<double>(request.have_rows) : 0;
+  }
+  return rows;
+}
+
 json goodput(bool quick) {
+  // What one answer is on the wire, its welcome and its frames included.
+  double bytes = 0;
+  {
+    Site::Options options;
+    options.script->rows = 600;
+    options.script->row_bytes = 200;
+    options.conf = conf();
+    Site site(options);
+    Proxy proxy(site.io, site.server->edge_endpoint(), [](std::size_t) { return LinkScript{}; });
+    Device device("acme", "tablet");
+    EdgeClient client(site.io, device, proxy.endpoint(), By::kWebSocketCbor);
+    client.connect();
+    client.ask("report", "select 1 from a_1.t", 4000);
+    if (!site.until([&] { return device.idle(); })) std::abort();
+    bytes = static_cast<double>(proxy.bytes_down());
+  }
   json table = json::array();
   double worst = 0;
-  for (int roughness = 0; roughness <= 4; ++roughness) {
-    double rows[2] = {};
-    for (const bool sessions : {false, true}) {
-      Site::Options options;
-      options.script->rows = 2000;  // 200 KB
-      options.script->row_bytes = 100;
-      options.conf = conf("  session-keep 60s\n");
-      Site site(options);
-      const int devices = quick ? 4 : 8;
-      std::vector<std::unique_ptr<Proxy>> proxies;
-      std::vector<std::unique_ptr<Device>> tablets;
-      std::vector<std::unique_ptr<EdgeClient>> clients;
-      for (int i = 0; i < devices; ++i) {
-        proxies.push_back(std::make_unique<Proxy>(site.io, site.server->edge_endpoint(), [i, roughness](std::size_t n) {
-          return draw_link(static_cast<std::uint64_t>(i) * 7919 + n, roughness);
-        }));
-        tablets.push_back(std::make_unique<Device>("acme", "tablet" + std::to_string(i)));
-        tablets.back()->plain = !sessions;
-        clients.push_back(std::make_unique<EdgeClient>(site.io, *tablets.back(), proxies.back()->endpoint(), By::kWebSocketCbor));
-        clients.back()->set_patience(milliseconds(700));
-        clients.back()->connect();
-        clients.back()->ask("report", "select 1 from a_1.t", quick ? 2500 : 6000);
-      }
-      site.run_for(milliseconds(quick ? 2500 : 6000));
-      for (const auto& tablet : tablets) {
-        for (const auto& [_, request] : tablet->requests()) rows[sessions] += request.done ? static_cast<double>(request.have_rows) : 0;
-      }
-    }
-    const double ratio = rows[1] / std::max(rows[0], 1.0);
-    table.push_back({{"roughness", roughness}, {"plain_rows", rows[0]}, {"session_rows", rows[1]}, {"ratio", rows[0] > 0 ? json(ratio) : json("plain delivered none")}});
-    worst = ratio;
+  for (const double cuts : {0.0, 0.5, 1.0, 2.0, 3.0, 4.0}) {
+    const double plain = rows_in_time(cuts, false, quick, bytes), with = rows_in_time(cuts, true, quick, bytes);
+    worst = with / std::max(plain, 600.0);  // one answer, where plain delivers none
+    table.push_back({{"cuts_an_answer", cuts}, {"plain_rows", plain}, {"session_rows", with}, {"ratio", worst}});
   }
-  return {{"goodput_by_link", table}, {"goodput_over_plain", worst}};
+  return {{"goodput_answer_bytes", bytes}, {"goodput_by_link", table}, {"goodput_over_plain", worst}};
 }
 
 }  // namespace
@@ -213,9 +273,11 @@
 int main(int argc, char** argv) {
   CLI::App app{"what the edge holds up to and what it costs"};
   bool quick = false;
-  std::string only;
+  std::string program = STEPRAIL, before, only;
   app.add_flag("--quick", quick, "under 20 s");
-  app.add_option("--only", only, "one part: simulated, idle, storm, ledger, goodput");
+  app.add_option("--program", program, "the program to measure");
+  app.add_option("--before", before, "an earlier build of it, to compare the ordinary path with");
+  app.add_option("--only", only, "one part: simulated, idle, storm, ledger, goodput, cost");
   CLI11_PARSE(app, argc, argv);
   most_descriptors();
   json out = {{"bench", "edge"}, {"quick", quick}};
@@ -231,6 +293,7 @@
   part("storm", [&] { return storm(quick); });
   part("ledger", [&] { return ledger_cost(quick); });
   part("goodput", [&] { return goodput(quick); });
+  part("cost", [&] { return ordinary_cost(program, before, ::conf(), quick); });
   std::cout << out.dump() << std::endl;
   return 0;
 }
--- a/bench/spool_bench.cpp
+++ b/bench/spool_bench.cpp
@@ -10,6 +10,7 @@
 
 #include "base/timing_wheel.h"
 #include "bench/bench.h"
+#include "bench/ordinary.h"
 #include "net/engine_line.h"
 #include "spool/logic/page_index.h"
 #include "spool/store/segment_store.h"
@@ -225,86 +226,6 @@
           {"stalled_refused", refused}};
 }
 
-// ---- The ordinary path ----
-
-double cost_of_round(Site& site, Client& client, const Process& process, int requests, std::uint64_t& next) {
-  const double before = process.cpu_seconds();
-  int open = 0, done = 0, asked = 0;
-  while (done < requests) {
-    while (open < 16 && asked < requests) {
-      char id[17];
-      std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++next));
-      client.call("execute", ++asked, request(id, "lookup"), "select 1 from a_7.t");
-      ++open;
-    }
-    if (!site.until([&] {
-          bool any = false;
-          while (client.take()) ++done, --open, any = true;
-          return any || client.ended();
-        }) || client.ended())
-      std::abort();
-  }
-  return process.cpu_seconds() - before;
-}
-
-json cost_figures(const std::string& program, const std::string& before, bool quick) {
-  Site::Options options;
-  options.engines = 4;
-  options.conf = conf("64m");
-  Site site(options);
-  site.kill();
-  struct Variant {
-    std::string name;
-    std::unique_ptr<Site> listen;
-    std::unique_ptr<Process> process;
-    std::unique_ptr<Client> client;
-    std::vector<double> costs;
-  };
-  std::vector<Variant> variants;
-  const auto add = [&](const std::string& name, const std::string& path, bool on) {
-    // A port that is free now: the program is told where to listen.
-    tcp::acceptor probe(site.io, {boost::asio::ip::address_v4::loopback(), 0});
-    const int port = probe.local_endpoint().port();
-    probe.close();
-    json config = site.config;
-    config["listen"] = "127.0.0.1:" + std::to_string(port);
-    const std::string file = name + ".json";
-    site.folder.write(file, config.dump());
-    std::vector<std::string> words{path, "serve", "--config", site.folder.path(file)};
-    if (on) words.insert(words.end(), {"--conf", site.folder.path("steprail.conf")});
-    Variant variant{name, nullptr, std::make_unique<Process>(words, "serving as"), nullptr, {}};
-    variant.client = std::make_unique<Client>(site.io, tcp::endpoint{boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)});
-    variants.push_back(std::move(variant));
-  };
-  if (!before.empty()) add("before", before, false);
-  add("off", program, false);
-  add("on", program, true);
-  const int requests = quick ? 2000 : 4000, rounds = quick ? 11 : 61;
-  std::uint64_t next = 0;
-  for (Variant& variant : variants) cost_of_round(site, *variant.client, *variant.process, requests / 4, next);
-  for (int round = 0; round < rounds; ++round) {
-    // The order turns, so that what a round leaves behind burdens each alike.
-    for (std::size_t i = 0; i < variants.size(); ++i) {
-      Variant& variant = variants[(i + static_cast<std::size_t>(round)) % variants.size()];
-      variant.costs.push_back(cost_of_round(site, *variant.client, *variant.process, requests, next));
-    }
-  }
-  const auto ratio = [&](const Variant& a, const Variant& b) {
-    std::vector<double> ratios;
-    for (std::size_t i = 0; i < a.costs.size(); ++i) ratios.push_back(a.costs[i] / b.costs[i]);
-    return median(ratios);
-  };
-  json out = {{"ordinary_us_a_request", median(variants.back().costs) / requests * 1e6},
-              {"ordinary_cost_on_over_off", ratio(variants[variants.size() - 1], variants[variants.size() - 2])},
-              {"ordinary_idle_rss_off_mb", variants[variants.size() - 2].process->memory("VmRSS") / 1e6}};
-  if (!before.empty()) {
-    out["ordinary_cost_ratio_off"] = ratio(variants[1], variants[0]);
-    out["ordinary_cost_ratio_on"] = ratio(variants[2], variants[0]);
-    out["ordinary_rss_before_mb"] = variants[0].process->memory("VmRSS") / 1e6;
-  }
-  return out;
-}
-
 json bytes_left() {
   Site::Options options;
   options.script->rows = 1000;
@@ -356,7 +277,7 @@
   part("store", [&] { return store_figures(quick); });
   part("session", [&] { return session_figures(); });
   part("memory", [&] { return memory_figures(program, quick); });
-  part("cost", [&] { return cost_figures(program, before, quick); });
+  part("cost", [&] { return ordinary_cost(program, before, ::conf("64m"), quick); });
   part("left", [&] { return json{{"bytes_left", bytes_left()}}; });
   std::cout << out.dump() << std::endl;
   return 0;
--- a/standins/device.h
+++ b/standins/device.h
@@ -42,6 +42,7 @@
     request.body.limit_ms = limit_ms;
     request.asked = now;
     request.deadline = now + std::chrono::milliseconds(limit_ms);
+    ++open_;
     if (in_session_) channel_.push(request.body);
     return key;
   }
@@ -144,12 +145,8 @@
   // What was sent and not acknowledged is sent again, as over polls, where answers get lost.
   void rewind() { channel_.resume(channel_.base()); }
 
-  bool idle() const {
-    for (const auto& [_, request] : requests_) {
-      if (!request.done) return false;
-    }
-    return true;
-  }
+  bool idle() const { return open_ == 0; }
+  std::size_t open() const { return open_; }
   const std::map<std::uint64_t, Request>& requests() const { return requests_; }
   const std::string& token() const { return token_; }
   void set_token(std::string token) { token_ = std::move(token); }
@@ -222,7 +219,8 @@
     request.have_rows += body.count;
     if (body.last) finish(request);
   }
-  static void finish(Request& request) {
+  void finish(Request& request) {
+    open_ -= !request.done;
     request.done = true;
     ++request.finals;
   }
@@ -231,6 +229,7 @@
   edge::Channel<edge::Body> channel_;
   std::map<std::uint64_t, Request> requests_;
   std::uint64_t last_key_{0}, incarnation_{0};
+  std::size_t open_{0};  // requests without their end: some of thousands
   bool in_session_{false}, welcomed_{false};
 };
 
--- a/standins/site.cpp
+++ b/standins/site.cpp
@@ -101,7 +101,7 @@
   return true;
 }
 
-void Site::run_for(std::chrono::milliseconds time) {
+void Site::run_for(std::chrono::microseconds time) {
   const auto end = std::chrono::steady_clock::now() + time;
   do {
     std::size_t done = io.poll();
--- a/standins/site.h
+++ b/standins/site.h
@@ -51,7 +51,7 @@
 
   // Lets both sides run until it has happened; false where that takes too long.
   bool until(const std::function<bool()>& happened, std::chrono::seconds most = std::chrono::seconds(30));
-  void run_for(std::chrono::milliseconds time);
+  void run_for(std::chrono::microseconds time);
   std::unique_ptr<Client> client() { return std::make_unique<Client>(io, server->endpoint()); }
   std::unique_ptr<Client> reader() { return std::make_unique<Client>(io, server->reader_endpoint()); }
   std::optional<Reply> reply(Client& from);
--- a/tests/edge/story_test.cpp
+++ b/tests/edge/story_test.cpp
@@ -175,6 +175,40 @@
   CHECK(total_runs(site) == 1);
 }
 
+// The device's own patience plays no part here: it would wait for longer than the story lasts.
+TEST_CASE("edge: a link that swallows everything is given up by the edge's own suspicion, and its rows' memory comes back") {
+  Site::Options o = options("  heartbeat-least 100ms\n  heartbeat-most 300ms\n");
+  o.script->runs_for = milliseconds(200);
+  o.script->rows = 3000;
+  Site site(o);
+  const std::uint64_t at = welcome_bytes(site, "meter1");
+  bool hole = true;
+  Proxy proxy(site.io, site.server->edge_endpoint(), [&](std::size_t) {
+    LinkScript script;
+    // Some of the rows still pass.
+    if (hole) script.down = {at + 2000, LinkScript::How::kHole, {}, {}, 0};
+    return script;
+  });
+  Tablet tablet(site, "tablet");
+  tablet.client.set_target(proxy.endpoint());
+  tablet.client.set_patience(std::chrono::minutes(10));
+  tablet.client.connect();
+  const auto key = tablet.client.ask("report", "select * from lessons_3.hours", 15000);
+  REQUIRE(site.until([&] { return site.server->edge()->logic().memory().used() > 0; }));
+  REQUIRE(site.until([&] { return site.server->edge()->logic().counts().suspected == 1; }));
+  CHECK(site.server->edge()->logic().live() == 0);
+  CHECK(site.server->edge()->logic().memory().used() == 0);
+  CHECK_FALSE(tablet.device.idle());
+  // It comes back by itself later, and goes on where the link broke off.
+  hole = false;
+  tablet.client.drop();
+  REQUIRE(site.until([&] { return tablet.device.idle(); }));
+  CHECK(tablet.at(key).finals == 1);
+  CHECK(tablet.at(key).rows == whole(*site.script, last_id(site), 1));
+  CHECK(tablet.device.sessions == 1);
+  CHECK(total_runs(site) == 1);
+}
+
 TEST_CASE("edge: sent again by a second connection and by the other front, a load runs once") {
   Site::Options o = options();
   o.script->runs_for = milliseconds(150);
