Put routes before the decision module: matching, adaptive limits, and a solver-checked file

Time-outs and attempt counts stood in code, so that a report's plans and a lookup's waits could not be set apart. This is the thin path through the parts of the issue:

- routes/logic: most specific match by a decision tree, ambiguities by name of both lines, a concurrency limit that follows delay, rates, shares of tenants, pools with a slow start.
State stays with a name over a reload.
- routes/check: Z3 looks for a history that breaks a rule and tells the shortest one with its line: `report may be out for 3 x 6 s + 1.5 s = 19.5 s, given up after 15 s`.
It lies in a library of its own that is loaded where routes are configured.
- The operator's file has named blocks (`route NAME`, `pool NAME`), checked at the start, at SIGHUP and in check-config.

Off without the file.

--- a/include/steprail/gateway.h
+++ b/include/steprail/gateway.h
@@ -118,6 +118,26 @@
   std::vector<EngineEntry> entries{};
 };
 
+// What the operator's routes say of the requests that take them; what is absent is as without routes.
+struct RouteFigures {
+  int number{};                    // the same for a route's whole life: its ration goes on over a reload
+  int most_tries{};                // 0: as the settings say, and never more
+  std::vector<Micros> patience{};  // by attempt, the last one for all further ones; empty: the gateway's own
+  Micros pause{0};                 // before a further attempt ...
+  double jitter{};                 // ... give or take this part of it
+  Micros move_after{0};            // an attempt that may run again leaves its engine after so long; 0: never so
+  std::optional<double> ration{};  // further attempts for each first one
+  double ration_burst{};           // and so many ahead of that
+  int pool{-1};                    // of RoutesNews; -1: every engine
+};
+
+// The routes as they are from now on; requests that are open keep the figures with which they came, and the pools
+// as they are now.
+struct RoutesNews {
+  std::vector<std::shared_ptr<const RouteFigures>> routes{};
+  std::vector<std::vector<bool>> pools{};  // by engine; one that lies beyond is no member
+};
+
 // A client's request; the gateway owes it one final answer before `left` has passed.
 struct Arrival {
   RequestId id{};
@@ -129,6 +149,8 @@
   double memory_mb{};    // likewise
   int group{-1};         // group of tables
   bool resent{};
+  int route{-1};         // of RoutesNews; -1: none
+  bool no_place{};       // its route has none for it now
 };
 
 // The client quit; attempts still out are closed one by one afterwards.
@@ -188,7 +210,7 @@
   std::uint64_t label{};
 };
 
-using Event = std::variant<Started, ListNews, Arrival, ClientGone, FirstByte, Closed, Note, ProbeResult,
+using Event = std::variant<Started, ListNews, RoutesNews, Arrival, ClientGone, FirstByte, Closed, Note, ProbeResult,
                            PeerMessage, Alarm>;
 
 // ---- Actions: what the caller must do, in this order, at the event's own time ----
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -13,7 +13,7 @@
 // ---- Constants: dimensionless, or times that the design itself names ----
 constexpr Micros kPeriod{1'000'000};     // the design's sampling period of the PI loop
 constexpr Micros kTick = kPeriod / 10;   // housekeeping, fine against the period and coarse against the wire
-constexpr std::uint64_t kTickLabel = 1;  // the one timer that is always running
+constexpr std::uint64_t kTickLabel = 1, kPauseLabel = 2;  // the timer that always runs; a pause is over
 constexpr double kSetPoint = 0.9;        // S_t of the paper's SLA
 constexpr double kGainP = 1.0;           // K_P; the paper's 2.36 suits data items, finishes come slower here
 constexpr double kGainI = 0.5;           // K_I; the paper's 3.62 swings once delays span several periods
@@ -102,7 +102,8 @@
   std::vector<Attempt> attempts;
   bool finished{}, over_share{};
   int risky_engine{-1};  // where an attempt may have run, and when that was sent
-  Micros risky_at{0};
+  Micros risky_at{0}, held_until{0};
+  std::shared_ptr<const RouteFigures> route;
   bool out() const { return !attempts.empty() && attempts.back().open; }
 };
 
@@ -345,7 +346,7 @@
     std::sort(keyed.begin(), keyed.end(), std::greater<>());
     std::vector<int> order;
     const bool light = of(r).effect == Effect::kRepeatable && r.attempts.empty() &&
-                       r.sigma <= mean_sigma(r.cls) && s_.most_tries > 1;
+                       r.sigma <= mean_sigma(r.cls) && most_tries(r) > 1;
     for (int i = 0; light && i < static_cast<int>(engines_.size()); ++i) {
       Engine& e = engines_[static_cast<std::size_t>(i)];
       if (e.listed && e.shunned && now_ >= e.trial_at && trials_ >= 1) order.push_back(i);
@@ -357,7 +358,7 @@
 
   // Admission: the first engine in draw order whose backlog with this query fits its bound.
   void dispatch(RequestId id, Request& r) {
-    if (r.finished || r.out()) return;
+    if (r.finished || r.out() || now_ < r.held_until) return;
     if (!has_turn(id, r)) {
       // Held for its turn, unless it would be lost before the next look at what is held.
       if (ending(r)) finish(id, r);
@@ -367,6 +368,7 @@
     const std::vector<int> order = draw(r, again ? r.attempts.back().engine : -1);
     for (int i : order) {
       Engine& e = engines_[static_cast<std::size_t>(i)];
+      if (!in_pool(r, i)) continue;
       const double crowd = others(e);
       e.peak = std::max(e.peak, e.backlog + crowd + r.cost);
       const double share = r.over_share ? kOverShareBound : 1;
@@ -437,6 +439,8 @@
       const Engine& e = engines_[static_cast<std::size_t>(a.engine)];
       // Notes of one attempt stay away while others come: its connection is dead, or its answer was lost.
       if (now_ - a.heard > 3 * s_.progress && now_ - e.heard < s_.progress) move(id, r);
+      const Micros limit = r.route ? r.route->move_after : Micros{0};
+      if (limit.count() > 0 && now_ - a.sent >= limit) move(id, r);
       const double quiet = ms(now_ - std::max(a.sent, e.heard));
       if (s_.progress.count() > 0 ? quiet > 3 * ms(s_.progress)
                                   : quiet > kOverdue * expected(r) + ms(kTick)) {
@@ -456,10 +460,14 @@
 
   // ---- 5. Attempts ----
 
+  int most_tries(const Request& r) const {
+    return r.route && r.route->most_tries > 0 ? std::min(r.route->most_tries, s_.most_tries) : s_.most_tries;
+  }
+
   bool another_try(const Request& r) const {
     return s_.may_cancel && of(r).effect == Effect::kRepeatable && !r.finished &&
-           !r.attempts.back().streaming && static_cast<int>(r.attempts.size()) < s_.most_tries &&
-           budget_allows() && ms(r.deadline - now_) > expected(r);
+           !r.attempts.back().streaming && static_cast<int>(r.attempts.size()) < most_tries(r) &&
+           budget_allows(r) && ms(r.deadline - now_) > expected(r);
   }
 
   void move(RequestId id, Request& r) {
@@ -470,15 +478,18 @@
   }
 
   Micros patience(const Request& r) const {
+    if (r.route && !r.route->patience.empty())
+      return r.route->patience[std::min(r.attempts.size(), r.route->patience.size() - 1)];
     const bool more =
-        of(r).effect == Effect::kRepeatable && static_cast<int>(r.attempts.size()) + 1 < s_.most_tries;
+        of(r).effect == Effect::kRepeatable && static_cast<int>(r.attempts.size()) + 1 < most_tries(r);
     if (!more) return Micros{0};
     return from_ms(std::max(kPatience * ms(r.deadline - now_), kOverdue * expected(r)));
   }
 
   // ---- 6. Guards ----
 
-  bool budget_allows() const {
+  bool budget_allows(const Request& r) const {
+    if (r.route && r.route->ration && rations_.at(r.route->number) < 1) return false;
     if (!s_.extra_ratio) return true;
     const Micros since = now_ - s_.look_back;
     const auto recent = [since](Micros t) { return t > since; };
@@ -509,6 +520,27 @@
     return work * kColdMany <= budget && e.cold_used + work <= earned + e.cold_start * work;
   }
 
+  bool in_pool(const Request& r, int engine) const {
+    if (!r.route || r.route->pool < 0) return true;
+    const auto pool = static_cast<std::size_t>(r.route->pool), member = static_cast<std::size_t>(engine);
+    return pool < pools_.size() && member < pools_[pool].size() && pools_[pool][member];
+  }
+
+  // A route's pause before its next attempt. One that would last too long ends the request at once.
+  void pause(RequestId id, Request& r) {
+    const double span = ms(r.route->pause) * (1 + r.route->jitter * (2 * uniform() - 1));
+    r.held_until = now_ + from_ms(span);
+    if (r.held_until + from_ms(expected(r)) >= r.deadline || !may_try_again(r)) return finish(id, r);
+    pauses_.emplace(r.held_until, id);
+    act(Timer{r.held_until, kPauseLabel});
+  }
+
+  // What no engine and no wait can change.
+  bool may_try_again(const Request& r) const {
+    const bool harmless = r.risky_engine < 0 || of(r).effect != Effect::kOnce;
+    return harmless && static_cast<int>(r.attempts.size()) < most_tries(r) && budget_allows(r);
+  }
+
   static bool allowed(const std::vector<int>& places, int place) {
     return places.empty() || std::find(places.begin(), places.end(), place) != places.end();
   }
@@ -533,14 +565,15 @@
   bool send(RequestId id, Request& r, int index) {
     Engine& e = engines_[static_cast<std::size_t>(index)];
     if (r.finished || r.out() || now_ >= r.deadline || !has_turn(id, r)) return false;
-    if (static_cast<int>(r.attempts.size()) >= s_.most_tries) return false;
+    if (static_cast<int>(r.attempts.size()) >= most_tries(r) || !in_pool(r, index)) return false;
     if (!e.listed || e.standing != Standing::kReady) return false;
     if (!allowed(of(r).zones, e.zone) || !allowed(of(r).kinds, e.kind)) return false;
     if (!effect_allows(r, index) || !cold_allows(e, r)) return false;
-    if (!r.attempts.empty() && !budget_allows()) return false;
+    if (!r.attempts.empty() && !budget_allows(r)) return false;
     terms(id, r, e);
     act(Send{id, index, patience(r)});
     if (!r.attempts.empty()) extras_.push_back(now_);
+    if (!r.attempts.empty() && r.route && r.route->ration) rations_[r.route->number] -= 1;
     if (cold(e)) {
       e.cold_sends.emplace_back(now_, mean_work(r.cls));
       e.cold_used += cold_work(r);
@@ -680,6 +713,16 @@
     judge();
   }
 
+  void on(const RoutesNews& news) {
+    routes_ = news.routes, pools_ = news.pools;
+    std::map<int, double> kept;
+    for (const auto& route : routes_)
+      kept[route->number] = rations_.contains(route->number) ? rations_[route->number] : route->ration_burst;
+    for (const auto& [id, r] : requests_)
+      if (r.route) kept.try_emplace(r.route->number, rations_[r.route->number]);
+    rations_ = std::move(kept);
+  }
+
   void on(const Arrival& a) {
     if (a.cls < 0 || a.cls >= static_cast<int>(s_.classes.size()) || requests_.contains(a.id)) return;
     Request& r = requests_[a.id];
@@ -689,10 +732,16 @@
     r.arrived = now_, r.deadline = now_ + a.left;
     r.over_share = over_share(a.tenant);
     price(r);
+    if (a.route >= 0 && a.route < static_cast<int>(routes_.size())) {
+      r.route = routes_[static_cast<std::size_t>(a.route)];
+      double& left = rations_[r.route->number];
+      if (r.route->ration && !a.no_place) left = std::min(r.route->ration_burst, left + *r.route->ration);
+    }
     slack_seen_.add(ms(r.slack));
     trials_ = std::min(kTrialBurst, trials_ + kTrialShare);
     if (s_.extra_ratio) taken_.push_back(now_);
     if (r.key && of(r).keep_order) lines_[*r.key].line.push_back(a.id);
+    if (a.no_place) return finish(a.id, r);
     dispatch(a.id, r);
   }
 
@@ -807,6 +856,8 @@
       settle(c.id);
     } else if (c.outcome == Outcome::kUnused || now_ >= r.deadline) {
       finish(c.id, r);
+    } else if (r.route && r.route->pause.count() > 0) {
+      pause(c.id, r);
     } else {
       dispatch(c.id, r);
     }
@@ -822,6 +873,12 @@
   void on(const PeerMessage&) {}
 
   void on(const Alarm& alarm) {
+    while (!pauses_.empty() && pauses_.begin()->first <= now_) {
+      const RequestId id = pauses_.begin()->second;
+      pauses_.erase(pauses_.begin());
+      const auto at = requests_.find(id);
+      if (at != requests_.end() && now_ >= at->second.held_until) dispatch(id, at->second);
+    }
     if (alarm.label != kTickLabel || now_ < tick_due_) return;
     tick_due_ = now_ + kTick;
     act(Timer{tick_due_, kTickLabel});
@@ -903,6 +960,10 @@
   std::vector<TenantState> tenants_;
   std::map<RequestId, Request> requests_;
   std::map<std::uint64_t, KeyLine> lines_;
+  std::vector<std::shared_ptr<const RouteFigures>> routes_;
+  std::vector<std::vector<bool>> pools_;
+  std::map<int, double> rations_;  // by the route's number: further attempts that may be made now
+  std::multimap<Micros, RequestId> pauses_;
   std::deque<Micros> taken_, extras_;
   Mean pool_lost_, cost_seen_, slack_seen_, threads_seen_, pool_load_;
   double unit_{1}, pool_slowdown_{1}, pool_ddr_sum_{}, pool_finishes_{}, trials_{1};
--- a/src/conf/schema.cpp
+++ b/src/conf/schema.cpp
@@ -178,14 +178,27 @@
       faults.push_back(at(head, "'" + head.text + "' is a block: its directives stand in { }"));
       continue;
     }
-    if (node.words.size() > 1) faults.push_back(at(node.words[1], "'" + head.text + "' takes no words before '{'"));
-    const auto [before, fresh] = seen_blocks.try_emplace(head.text, head.line);
+    const bool named = static_cast<bool>(block->named_);
+    if (node.words.size() > (named ? 2u : 1u)) {
+      faults.push_back(at(node.words[named ? 2 : 1], "'" + head.text + (named ? "' takes one name" : "' takes no words") +
+                                                         " before '{'"));
+    }
+    if (named && node.words.size() < 2) {
+      faults.push_back(at(head, "'" + head.text + "' lacks a name: " + head.text + " NAME { ... }"));
+      continue;
+    }
+    const std::string whole_name = named ? head.text + ' ' + node.words[1].text : head.text;
+    const auto [before, fresh] = seen_blocks.try_emplace(whole_name, head.line);
     if (!fresh) {
-      faults.push_back(at(head, "block '" + head.text + "' stands in line " +
+      faults.push_back(at(head, "block '" + whole_name + "' stands in line " +
                                     std::to_string(before->second) + " already"));
       continue;
     }
     if (block->present_) block->present_();
+    if (named) {
+      const std::string wrong = block->named_(node.words[1].text, head.line);
+      if (!wrong.empty()) faults.push_back(at(node.words[1], wrong));
+    }
     const std::size_t before_faults = faults.size();
     std::map<std::string, Word> places;
     for (const Node& inner : node.inner) {
@@ -210,6 +223,7 @@
         continue;
       }
       Directive::Given given;
+      given.line = word.line;
       bool good = true;
       std::string fault;
       std::size_t next = 1;
@@ -305,7 +319,7 @@
       if (directive.repeated_) inner += "      May be repeated.\n";
     }
     if (!whole && inner.empty()) continue;
-    out += block.name_ + " { ... }\n    " + block.help_ + '\n' + inner;
+    out += block.name_ + (block.named_ ? " NAME" : "") + " { ... }\n    " + block.help_ + '\n' + inner;
   }
   return out;
 }
--- a/src/conf/schema.h
+++ b/src/conf/schema.h
@@ -69,6 +69,7 @@
   struct Given {
     std::vector<Value> values;
     std::map<std::string, Value> options;
+    std::size_t line{};
     std::int64_t whole(std::size_t n) const { return std::get<std::int64_t>(values.at(n)); }
     double real(std::size_t n) const { return std::get<double>(values.at(n)); }
     const std::string& text(std::size_t n) const { return std::get<std::string>(values.at(n)); }
@@ -107,6 +108,12 @@
     present_ = std::move(then);
     return *this;
   }
+  // The block may stand any number of times, each under a name of its own: `route NAME { ... }`. Called for each,
+  // with its name and line; what it returns, if anything, is wrong with the name.
+  Block& named(std::function<std::string(const std::string&, std::size_t)> then) {
+    named_ = std::move(then);
+    return *this;
+  }
   // A rule over several directives, held once all are read without a fault. It returns what is wrong and the
   // directive whose place is to be shown, or two empty texts.
   struct Wrong {
@@ -122,6 +129,7 @@
   std::string name_, help_;
   std::deque<Directive> directives_;
   std::function<void()> present_;
+  std::function<std::string(const std::string&, std::size_t)> named_;
   std::vector<std::function<Wrong()>> rules_;
 };
 
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -76,6 +76,7 @@
   arrival.memory_mb = q.memory_mb;
   arrival.group = q.group;
   arrival.resent = q.resent;
+  if (routing_ != nullptr) routing_->arrived(q, arrival);
   gather(arrival);
 }
 
@@ -96,7 +97,9 @@
 void Coordinator::listed(ListMode mode, std::vector<EngineEntry> entries, std::vector<EngineChange> changes) {
   // The sockets hear of a drain at once, not with the batch: what is still queued must not leave late.
   for (const EngineChange& change : changes) engines_->list(change);
+  auto news = routing_ != nullptr ? routing_->listed(mode, entries, changes) : std::nullopt;
   gather(ListNews{mode, std::move(entries)});
+  if (news) gather(std::move(*news));
 }
 
 void Coordinator::when_empty(std::function<void()> then) {
@@ -199,7 +202,10 @@
   } else if (const auto* gone = std::get_if<ClientGone>(&event)) {
     const auto at = open_.find(gone->id);
     if (at == open_.end()) return;
-    if (!std::exchange(at->second.answered, true)) --unanswered_;
+    if (!std::exchange(at->second.answered, true)) {
+      --unanswered_;
+      if (routing_ != nullptr) routing_->left(gone->id, Routing::How::kGone);
+    }
     forgotten = gone->id, may_forget = true;
   } else if (auto* closed = std::get_if<Closed>(&event)) {
     Open& open = open_.at(closed->id);
@@ -219,6 +225,12 @@
   if (open.answered) return;
   open.answered = true;
   --unanswered_;
+  if (routing_ != nullptr) {
+    using How = Routing::How;
+    routing_->left(open.query.id, answer.verdict == Verdict::kServed    ? How::kServed
+                                  : answer.verdict == Verdict::kRefused ? How::kRefused
+                                                                        : How::kFailed);
+  }
   fronts_[static_cast<std::size_t>(open.query.ticket.front)]->answer(open.query.ticket, std::move(answer));
 }
 
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -21,6 +21,7 @@
  public:
   Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings);
   void attach(Engines& engines) { engines_ = &engines; }
+  void attach(Routing& routing) { routing_ = &routing; }
   // Returns the number under which the front's tickets come back to it.
   int attach(Front& front);
   void start();
@@ -37,6 +38,7 @@
   void noted(Note note);
   void probed(ProbeResult result);
   void listed(ListMode mode, std::vector<EngineEntry> entries, std::vector<EngineChange> changes);
+  void routes(RoutesNews news) { gather(std::move(news)); }
 
   // Asks for a turn, at the end of which what waits to be written leaves.
   void wake();
@@ -97,6 +99,7 @@
   Settings settings_;
   Gateway module_;
   std::vector<Front*> fronts_;
+  Routing* routing_{};
   Engines* engines_{};
   boost::asio::steady_timer timer_;
   Micros armed_for_{0};
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -79,6 +79,19 @@
   Micros came_up{0};
 };
 
+// What the operator's routes say of each request, on its way to the module. Not there: as without routes.
+class Routing {
+ public:
+  enum class How { kServed, kFailed, kRefused, kGone };
+  virtual ~Routing() = default;
+  // Fills in what concerns routes; left() follows exactly once.
+  virtual void arrived(const Query& query, Arrival& arrival) = 0;
+  virtual void left(RequestId id, How how) = 0;
+  // The list as it has just changed; what the module has to hear of it, if anything.
+  virtual std::optional<RoutesNews> listed(ListMode mode, const std::vector<EngineEntry>& entries,
+                                           const std::vector<EngineChange>& changes) = 0;
+};
+
 class Engines {
  public:
   virtual ~Engines() = default;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,8 +34,10 @@
     const auto read_own = [&] { return own.empty() ? OperatorConf{} : read_operator(own); };
     if (*check) {
       const Config config = read_config(path);
-      const std::string fault = misfit(read_own(), config.memory_mb, config.sockets);
+      const OperatorConf conf = read_own();
+      const std::string fault = misfit(conf, config.memory_mb, config.sockets);
       if (!fault.empty()) throw std::runtime_error(own + ": " + fault);
+      routes_of(conf, config.settings, config.tables);
       std::cout << config.name << ": can be used\n";
     }
     if (*serve) {
--- a/src/operator.cpp
+++ b/src/operator.cpp
@@ -1,5 +1,7 @@
 #include "operator.h"
 
+#include "routes/checked.h"
+
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -32,8 +34,20 @@
       .take([&into](const Given& given) { return into.metrics_file = given.text(0), std::string(); });
   spool::register_spool(schema, into.spool);
   edge::register_edge(schema, into.edge);
+  routes::register_routes(schema, into.routes);
 }
 
+namespace {
+
+void reject(const conf::Document& document, const std::vector<conf::Fault>& faults) {
+  if (faults.empty()) return;
+  std::string told = conf::render(document, faults);
+  told.pop_back();
+  throw std::runtime_error("operator's file cannot be used:\n" + told);
+}
+
+}  // namespace
+
 OperatorConf read_operator(const std::string& path) {
   std::ifstream file(path);
   if (!file) throw std::runtime_error("operator's file " + path + " cannot be opened");
@@ -43,16 +57,26 @@
   conf.path = path;
   conf::Schema schema;
   register_all(schema, conf);
-  const conf::Document document = conf::parse(path, text.str());
-  const auto faults = schema.apply(document);
-  if (!faults.empty()) {
-    std::string told = conf::render(document, faults);
-    told.pop_back();
-    throw std::runtime_error("operator's file cannot be used:\n" + told);
-  }
+  conf.document = conf::parse(path, text.str());
+  reject(conf.document, schema.apply(conf.document));
   return conf;
 }
 
+routes::RouteSet routes_of(const OperatorConf& conf, const Settings& settings, const Tables& tables) {
+  std::vector<routes::Wrong> wrong;
+  routes::RouteSet set = routes::checked(conf.routes, settings, tables, wrong);
+  std::vector<conf::Fault> faults;
+  for (const routes::Wrong& one : wrong) {
+    // The whole directive is shown.
+    const std::string& line = conf.document.lines.at(one.line - 1);
+    const std::size_t from = std::min(line.find_first_not_of(" \t"), line.size());
+    const std::size_t end = std::min(line.find_last_not_of(" \t\r") + 1, line.size());
+    faults.push_back({one.line, from + 1, std::max<std::size_t>(1, end - from), one.text});
+  }
+  reject(conf.document, faults);
+  return set;
+}
+
 std::string misfit(const OperatorConf& conf, std::size_t memory_mb, std::size_t sockets) {
   if (conf.edge.on && !conf.spool.on) return "edge: it keeps its rows in the block 'spool', which is missing";
   if (conf.edge.on && conf.edge.connections > sockets / 3)
--- a/src/operator.h
+++ b/src/operator.h
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "conf/schema.h"
 #include "edge/settings.h"
+#include "routes/settings.h"
 #include "spool/settings.h"
 
 namespace steprail {
@@ -16,8 +17,13 @@
   std::string metrics_file;  // written at SIGUSR1; empty: SIGUSR1 is not for us
   spool::SpoolSettings spool;
   edge::EdgeConf edge;
+  routes::RouteConf routes;
+  conf::Document document;  // as it was read, to show faults that are found later in their place
 };
 
+// The routes, resolved and checked against the platform's settings. Throws std::runtime_error with all faults.
+routes::RouteSet routes_of(const OperatorConf& conf, const Settings& settings, const Tables& tables);
+
 // Registers every part's block; a document that is applied fills `into` in.
 void register_all(conf::Schema& schema, OperatorConf& into);
 
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -40,6 +40,7 @@
   const std::string fault = misfit(conf_, config_.memory_mb, config_.sockets);
   if (!fault.empty()) throw std::runtime_error(conf_.path + ": " + fault);
   metrics_ = std::make_unique<Metrics>();
+  take_routes(routes_of(conf_, config_.settings, config_.tables));
   if (!conf_.spool.on) return;
   std::vector<std::string> tenants;
   for (int i = 0; i < config_.tables.tenants.size(); ++i) tenants.push_back(config_.tables.tenants.name(i));
@@ -53,6 +54,12 @@
   edge_fronts_ = std::make_unique<edge::Fronts>(strand_, log_, *edge_, edge_limits());
 }
 
+void Server::take_routes(routes::RouteSet set) {
+  if (routes_) return routes_->reconfigure(std::move(set));
+  if (set.routes.empty()) return;
+  routes_ = std::make_unique<routes::Routes>(coordinator_, log_, *metrics_, config_.tables, std::move(set));
+}
+
 edge::Fronts::Limits Server::edge_limits() const { return {conf_.edge.connections, conf_.edge.poll_wait}; }
 
 FramedServer::Limits Server::reader_limits() const {
@@ -118,11 +125,13 @@
       if (!fixed.empty()) fault = "'" + fixed + "' changes with a restart only";
     }
     if (!fault.empty()) throw std::runtime_error(conf_.path + ": " + fault);
+    routes::RouteSet set = routes_of(conf, config_.settings, config_.tables);
     log_.line("configuration read again");
     directory_.move_to(fresh.directory);
     if (conf_.path.empty()) return;
     conf_ = std::move(conf);
     log_.set(conf_.log);
+    take_routes(std::move(set));
     if (spool_) {
       spool_->reconfigure(conf_.spool);
       readers_->set_limits(reader_limits());
@@ -180,6 +189,7 @@
 void Server::write_metrics() {
   if (spool_) spool_->observe();
   if (edge_) edge_->observe();
+  if (routes_) routes_->observe();
   if (!errands_) errands_ = std::make_unique<Worker>(1);
   const bool taken = errands_->post([this, path = conf_.metrics_file, text = metrics_->text()] {
     const std::string fault = replace_file(path, text);
--- a/src/server.h
+++ b/src/server.h
@@ -12,6 +12,7 @@
 #include "net/front.h"
 #include "edge/fronts.h"
 #include "operator.h"
+#include "routes/routes.h"
 #include "spool/reader_front.h"
 
 namespace steprail {
@@ -35,6 +36,7 @@
   // Of the edge, where it is on.
   tcp::endpoint edge_endpoint() const { return edge_endpoint_; }
   edge::Edge* edge() { return edge_.get(); }
+  routes::Routes* routes() { return routes_.get(); }
   Metrics* metrics() { return metrics_.get(); }
   spool::Spool* spool() { return spool_.get(); }
   std::uint64_t broken_invariants() const { return log_.broken_count(); }
@@ -49,6 +51,7 @@
   FramedServer::Limits reader_limits() const;
   edge::Fronts::Limits edge_limits() const;
   void write_metrics();
+  void take_routes(routes::RouteSet set);
 
   Config config_;
   OperatorConf conf_;
@@ -66,6 +69,7 @@
   std::unique_ptr<spool::Spool> spool_;
   std::unique_ptr<spool::ReaderFront> readers_;
   std::unique_ptr<edge::Edge> edge_;
+  std::unique_ptr<routes::Routes> routes_;
   std::unique_ptr<edge::Fronts> edge_fronts_;
   std::unique_ptr<Worker> errands_;  // the metrics file is written off the loop
   tcp::endpoint endpoint_, reader_endpoint_, edge_endpoint_;
