Explain the route that a request takes, and what keeps the others from it

Whoever changes a file with many routes has to see which one holds for a request, and why not another. `steprail explain` prints each route with the first thing that keeps it from matching, or with the more specific one that holds, and the figures of the one that does.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <iostream>
 
+#include "commands/explain.h"
 #include "server.h"
 
 int main(int argc, char** argv) {
@@ -19,6 +20,15 @@
       with_config(app.add_subcommand("check-config", "read the configuration and say if it can be used"));
   CLI::App* help = app.add_subcommand("help-config", "print what may stand in the operator's file");
   help->add_option("word", word, "one block or directive");
+  commands::ExplainOptions asked;
+  CLI::App* explain = with_config(app.add_subcommand("explain", "print the route that a request takes, and why"));
+  explain->add_option("--class", asked.cls, "its class")->required();
+  explain->add_option("--tenant", asked.tenant, "its tenant");
+  explain->add_option("--front", asked.front, "platform, spool or edge")->capture_default_str();
+  explain->add_option("--statement", asked.statement, "its statement, which names the group of tables");
+  explain->add_option("--group", asked.group, "the group, where no statement is given");
+  explain->add_option("--work", asked.work_ms, "its estimated work, ms");
+  explain->add_option("--memory", asked.memory_mb, "its estimated memory, MB");
   CLI::App* version = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -40,6 +50,11 @@
       routes_of(conf, config.settings, config.tables);
       std::cout << config.name << ": can be used\n";
     }
+    if (*explain) {
+      if (own.empty()) throw std::runtime_error("explain needs --conf: routes stand in the operator's file");
+      asked.config = path, asked.conf = own;
+      commands::explain(asked, std::cout);
+    }
     if (*serve) {
       Server server(read_config(path), read_own());
       server.start();
--- a/tests/routes/story_test.cpp
+++ b/tests/routes/story_test.cpp
@@ -1,6 +1,9 @@
 // Stories of routes over loopback: hanging engines, files that could break a rule, and reloads.
 #include <catch2/catch.hpp>
 
+#include <sstream>
+
+#include "commands/explain.h"
 #include "standins/site.h"
 
 namespace {
@@ -92,6 +95,31 @@
   }
 }
 
+TEST_CASE("routes: explain names the route that holds, and what keeps each other one from it") {
+  Site site(options("route all {\n  class report\n  attempts 2\n}\nroute acme {\n  class report\n  tenant acme\n"
+                    "  patience 2s\n  limit 4 40\n}\nroute heavy {\n  class report\n  tenant acme\n  work 500 9000\n}\n"
+                    "route l {\n  class lookup\n}\n"));
+  const auto told = [&](commands::ExplainOptions asked) {
+    asked.config = site.folder.path("config.json"), asked.conf = site.folder.path("steprail.conf");
+    std::ostringstream out;
+    commands::explain(asked, out);
+    return out.str();
+  };
+  commands::ExplainOptions asked;
+  asked.cls = "report", asked.tenant = "acme", asked.work_ms = 20;
+  CHECK(told(asked) ==
+        "route all of line 1 matches, but acme is more specific\n"
+        "route acme of line 5 holds\n"
+        "route heavy of line 11 is for work from 500 and below 9000 ms, this is 20\n"
+        "route l of line 16 is for class lookup\n"
+        "  patience of attempt 1 and all further ones: 2 s\n"
+        "  open at a time: from 4, following delay, up to 40\n");
+  asked.cls = "load";
+  CHECK(told(asked).find("no route matches") != std::string::npos);
+  asked.cls = "loads";
+  CHECK_THROWS_WITH(told(asked), Catch::Contains("unknown class 'loads'"));
+}
+
 TEST_CASE("routes: open requests keep their figures over a reload that takes their route away, twice in a row") {
   Site site(options("route r {\n  class report\n  attempts 3\n  patience 300ms\n  pause 200ms\n}\n"));
   site.script->fault = [](const Moment& m) { return m.at == Moment::At::kAck ? Fault::kSilent : Fault::kNone; };
