--- a/bench/routes_bench.cpp
+++ b/bench/routes_bench.cpp
@@ -8,6 +8,7 @@
 #include "bench/ordinary.h"
 #include "conf/document.h"
 #include "routes/check/check.h"
+#include "routes/plan/plan.h"
 #include "standins/route_world.h"
 
 namespace {
@@ -144,6 +145,33 @@
   return static_cast<double>(in) / static_cast<double>(asked);
 }
 
+// Worth a second with the planned routes over none, by the planner's own model, on three stated mixes.
+json plan_gain() {
+  const char* mixes[][2] = {
+      {"calm", "engines {\n  cores 64\n}\ntraffic l {\n  class lookup\n  rate 100\n  time 40ms\n  lost 1%\n}\n"
+               "traffic r {\n  class report\n  rate 20\n  time 700ms spread 60%\n  lost 2%\n}\n"},
+      {"rush", "engines {\n  cores 64\n}\ntraffic l {\n  class lookup\n  rate 300\n  time 60ms\n  lost 2%\n}\n"
+               "traffic r {\n  class report\n  rate 90\n  time 900ms spread 80%\n  lost 4%\n}\n"
+               "traffic w {\n  class load\n  rate 5\n  time 1500ms\n}\n"},
+      {"bad-plans", "engines {\n  cores 64\n}\ntraffic l {\n  class lookup\n  rate 100\n  time 40ms\n  lost 5%\n}\n"
+                    "traffic r {\n  class report\n  rate 40\n  time 600ms spread 100%\n  lost 20%\n}\n"}};
+  Platform platform;
+  platform.settings.classes[0].late_share = 0.3;
+  platform.settings.classes[2].hard_limit = 4s, platform.settings.classes[2].objective = 300ms;
+  platform.settings.extra_ratio = 0.1;
+  json out;
+  for (const auto& [name, text] : mixes) {
+    Traffic traffic;
+    conf::Schema schema;
+    register_traffic(schema, traffic);
+    if (!schema.apply(conf::parse(name, text)).empty()) std::abort();
+    const Plan planned = plan(traffic, platform.settings, platform.tables);
+    if (!planned.fault.empty()) std::abort();
+    out[name] = planned.worth / planned.worth_before;
+  }
+  return {{"plan_gain", out}};
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -153,7 +181,7 @@
   app.add_flag("--quick", quick, "under 20 s");
   app.add_option("--program", program, "the program to measure");
   app.add_option("--before", before, "an earlier build of it, to compare the ordinary path with");
-  app.add_option("--only", only, "one part: match, check, storm, tenant, cost");
+  app.add_option("--only", only, "one part: match, check, storm, tenant, plan, cost");
   CLI11_PARSE(app, argc, argv);
   json out = {{"bench", "routes"}, {"quick", quick}};
   const auto part = [&](const std::string& name, const std::function<json()>& run) {
@@ -176,6 +204,7 @@
                 {"goodput_after_fault", {{"ration_10", with.goodput_after}, {"none", without.goodput_after}}}};
   });
   part("tenant", [] { return json{{"tenant_within_share_kept", tenant_kept()}}; });
+  part("plan", [] { return plan_gain(); });
   part("cost", [&] {
     return ordinary_cost(program, before, "route r {\n  class lookup\n  attempts 2\n  limit 64 1000\n}\n", quick);
   });
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "commands/explain.h"
+#include "commands/plan.h"
 #include "server.h"
 
 int main(int argc, char** argv) {
@@ -29,6 +30,9 @@
   explain->add_option("--group", asked.group, "the group, where no statement is given");
   explain->add_option("--work", asked.work_ms, "its estimated work, ms");
   explain->add_option("--memory", asked.memory_mb, "its estimated memory, MB");
+  std::string traffic;
+  CLI::App* plan = with_config(app.add_subcommand("plan", "print routes for stated traffic, with what each line brings"));
+  plan->add_option("--traffic", traffic, "what comes: rates, times and losses, by class")->required();
   CLI::App* version = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
   try {
@@ -55,6 +59,7 @@
       asked.config = path, asked.conf = own;
       commands::explain(asked, std::cout);
     }
+    if (*plan) commands::plan(path, own, traffic, std::cout);
     if (*serve) {
       Server server(read_config(path), read_own());
       server.start();
--- a/tests/routes/story_test.cpp
+++ b/tests/routes/story_test.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "commands/explain.h"
+#include "commands/plan.h"
 #include "standins/site.h"
 
 namespace {
@@ -120,6 +121,31 @@
   CHECK_THROWS_WITH(told(asked), Catch::Contains("unknown class 'loads'"));
 }
 
+TEST_CASE("routes: a plan for stated traffic is a file that a coordinator starts with") {
+  Site site(options("log {\n  level info\n}\n"));
+  site.folder.write("traffic", "engines {\n  cores 32\n}\ntraffic reports {\n  class report\n  rate 60\n  time 900ms spread 80%\n"
+                               "  lost 5%\n}\ntraffic loads {\n  class load\n  rate 2\n  time 1500ms\n}\n");
+  const auto made = [&](const std::string& conf) {
+    std::ostringstream out;
+    commands::plan(site.folder.path("config.json"), conf, site.folder.path("traffic"), out);
+    return out.str();
+  };
+  const std::string file = made("");
+  INFO(file);
+  site.kill();
+  site.set_conf(file);
+  site.start();
+  REQUIRE(site.server->routes() != nullptr);
+  CHECK(site.server->routes()->logic().set().routes.size() == 2);
+  const auto client = site.client();
+  CHECK(execute(site, *client, kId).field == 0);
+  // Beside a file that has its own route for reports it does not pass, and says so.
+  site.set_conf("route mine {\n  class report\n}\n");
+  CHECK_THROWS_WITH(made(site.folder.path("steprail.conf")), Catch::Contains("mine"));
+  site.folder.write("traffic", "traffic t {\n  class report\n  rate 1\n  time 5ms\n}\n");
+  CHECK_THROWS_WITH(made(""), Catch::Contains("engines"));
+}
+
 TEST_CASE("routes: open requests keep their figures over a reload that takes their route away, twice in a row") {
   Site site(options("route r {\n  class report\n  attempts 3\n  patience 300ms\n  pause 200ms\n}\n"));
   site.script->fault = [](const Moment& m) { return m.at == Moment::At::kAck ? Fault::kSilent : Fault::kNone; };
