Give routes a grant of memory and a priority, and test units, ranges and names

The issue wants a route's memory and priority terms. Files with units mixed up, ranges the wrong way round, or a name twice are told with their places.

--- a/include/steprail/gateway.h
+++ b/include/steprail/gateway.h
@@ -129,6 +129,8 @@
   std::optional<double> ration{};  // further attempts for each first one
   double ration_burst{};           // and so many ahead of that
   int pool{-1};                    // of RoutesNews; -1: every engine
+  double memory_mb{};              // for each attempt, where memory is heeded; 0: as the gateway sees fit
+  int priority{-1};                // 0 to 3, where it is heeded; -1: as the gateway sees fit
 };
 
 // The routes as they are from now on; requests that are open keep the figures with which they came, and the pools
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -655,6 +655,7 @@
   // starve a class with far deadlines for as long as the cores are short.
   int priority(const Request& r) const {
     if (!s_.priority_heeded) return 1;
+    if (r.route && r.route->priority >= 0) return r.route->priority;
     // A query with its key's next ones waiting behind it is as near as the nearest of them.
     if (r.key && of(r).keep_order && lines_.at(*r.key).line.size() > 1) return 3;
     if (now_ > r.aim) return 1;  // what is late already must not make others late
@@ -664,8 +665,9 @@
 
   double grant(const Request& r, const Engine& e) const {
     const ClassState& c = classes_[static_cast<std::size_t>(r.cls)];
-    if (!s_.memory_heeded || r.memory <= 0 || c.memory_correction.weight < kTrusted) return 0;
     const double most = s_.largest_share * s_.kinds[static_cast<std::size_t>(e.kind)].memory_mb;
+    if (s_.memory_heeded && r.route && r.route->memory_mb > 0) return std::min(most, r.route->memory_mb);
+    if (!s_.memory_heeded || r.memory <= 0 || c.memory_correction.weight < kTrusted) return 0;
     return std::min(most, r.memory * c.memory_correction.get(1) * kGrantMargin);
   }
 
--- a/src/routes/logic/explain.cpp
+++ b/src/routes/logic/explain.cpp
@@ -49,6 +49,8 @@
     out.push_back("open at a time: from " + std::to_string(terms.limit_least) + ", following delay, up to " +
                   std::to_string(terms.limit_most));
   if (terms.rate > 0) out.push_back("rate: " + number(terms.rate) + " a second, " + number(terms.rate_burst) + " at once");
+  if (terms.memory_mb > 0) out.push_back("memory of an attempt: " + number(terms.memory_mb) + " MB, where engines heed it");
+  if (terms.priority >= 0) out.push_back("priority: " + std::to_string(terms.priority) + ", where engines heed it");
   for (const Pool& pool : set.pools) {
     if (pool.name == terms.pool)
       out.push_back("engines: pool " + pool.name + " of line " + std::to_string(pool.line) + ", names like '" + pool.pattern + "'");
--- a/src/routes/logic/route.h
+++ b/src/routes/logic/route.h
@@ -52,6 +52,8 @@
   double ration_burst{4};
   int limit_least{0}, limit_most{0};  // requests open at a time; 0: no limit
   double rate{0}, rate_burst{1};      // requests a second; 0: no limit
+  double memory_mb{0};                // for each attempt; 0: the module's own
+  int priority{-1};                   // 1 to 3; -1: the module's own
   std::string pool{};                 // empty: every engine
   bool operator==(const Terms&) const = default;
 };
--- a/src/routes/logic/route_logic.cpp
+++ b/src/routes/logic/route_logic.cpp
@@ -122,6 +122,8 @@
     figures.ration = terms.ration;
     figures.ration_burst = terms.ration_burst;
     figures.pool = pool_of_[i];
+    figures.memory_mb = terms.memory_mb;
+    figures.priority = terms.priority;
     news.routes.push_back(std::make_shared<const RouteFigures>(std::move(figures)));
   }
   news.pools = members_;
--- a/src/routes/settings.cpp
+++ b/src/routes/settings.cpp
@@ -154,6 +154,19 @@
         last().route.terms.rate_burst = static_cast<double>(given.whole(1));
         return std::string();
       });
+  route.directive("grant", "memory for each attempt, in MB, where engines heed it; never more than an engine gives one query")
+      .count("MB", 1, 1e6)
+      .standard("the module's own")
+      .take([last](const Given& given) {
+        return last().route.terms.memory_mb = static_cast<double>(given.whole(0)), std::string();
+      });
+  // The lowest one is nobody's: it would starve for as long as the cores are short.
+  route.directive("priority", "of its attempts, where engines heed it")
+      .count("RANK", 1, 3)
+      .standard("the module's own")
+      .take([last](const Given& given) {
+        return last().route.terms.priority = static_cast<int>(given.whole(0)), std::string();
+      });
   route.directive("pool", "its engines").text("NAME").standard("every engine").take([last](const Given& given) {
     last().route.terms.pool = given.text(0);
     last().pool_line = given.line;
--- a/standins/route_world.h
+++ b/standins/route_world.h
@@ -50,7 +50,8 @@
     std::vector<Sent> sent;
     std::optional<Micros> ended;
     bool refused{false}, served{false};
-    int out{0}, most_out{0}, answers{0};
+    int out{0}, most_out{0}, answers{0}, priority{1};
+    double memory_mb{0};
   };
   std::map<RequestId, Told> told;
 
@@ -93,6 +94,8 @@
         const Fate ends = fate(attempt);
         const bool by_itself = ends && ends->second <= patience;
         end(send->id, attempt, send->engine, by_itself ? ends->first : Outcome::kExpired, by_itself ? ends->second : patience);
+      } else if (const auto* terms = std::get_if<Terms>(&action)) {
+        told[terms->id].priority = terms->priority, told[terms->id].memory_mb = terms->memory_mb;
       } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
         end(cancel->id, cancel->attempt, told[cancel->id].sent.back().engine, Outcome::kRevoked, 1ms);
       } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
--- a/tests/routes/check_test.cpp
+++ b/tests/routes/check_test.cpp
@@ -123,6 +123,23 @@
   CHECK(ration[0].line == 7);
 }
 
+TEST_CASE("check: units mixed up, ranges the wrong way round and a name twice are faults with their places") {
+  const auto told = [](const std::string& text) {
+    RouteConf conf;
+    conf::Schema schema;
+    register_routes(schema, conf);
+    const conf::Document document = conf::parse("f", text);
+    return conf::render(document, schema.apply(document));
+  };
+  CHECK(told("route r {\n  patience 6\n}\n").find("f:2:12: '6' is not") == 0);
+  CHECK(told("route r {\n  patience 6m\n  limit 5s 9\n}\n").find("f:3:9: '5s' is not") == 0);
+  CHECK(told("route r {\n  limit 9 5\n}\n").find("LEAST is more than MOST") != std::string::npos);
+  CHECK(told("route r {\n  work 50 50\n}\n").find("f:2:8:") == 0);
+  CHECK(told("route r {\n}\nroute r {\n}\n").find("f:3:1: block 'route r' stands in line 1 already") == 0);
+  CHECK(told("route r {\n  pause 1s jitter 150%\n}\n").find("out of range") != std::string::npos);
+  CHECK(told("route r {\n  patiense 1s\n}\n").find("did you mean 'patience'?") != std::string::npos);
+}
+
 TEST_CASE("check: names that nobody has, and routes of which neither is the more specific") {
   const auto names = faults("route r {\n  class raport\n  tenant acme\n  pool q\n}\n");
   REQUIRE(names.size() == 2);
--- a/tests/routes/logic_test.cpp
+++ b/tests/routes/logic_test.cpp
@@ -321,6 +321,20 @@
   CHECK(world.told[back].served);
 }
 
+TEST_CASE("routes: memory and priority are the route's where engines heed them, within what an engine gives one query") {
+  RouteFigures figures;
+  figures.memory_mb = 9000, figures.priority = 3;
+  for (const bool heeded : {true, false}) {
+    Settings s = World::usual();
+    s.memory_heeded = s.priority_heeded = heeded;
+    s.largest_share = 0.25;  // of 16,384 MB
+    World world(figures, {}, 2, s);
+    const RequestId id = world.arrive();
+    CHECK(world.told[id].memory_mb == (heeded ? 4096 : 0));
+    CHECK(world.told[id].priority == (heeded ? 3 : 1));
+  }
+}
+
 TEST_CASE("routes: open requests keep their figures over a reload, also where their route goes") {
   RouteFigures figures;
   figures.patience = {1s};
