--- a/src/routes/logic/route.h
+++ b/src/routes/logic/route.h
@@ -47,7 +47,7 @@
   Micros pause{0};                 // before a further attempt ...
   double jitter{0};                // ... give or take this part of it
   Micros move_after{0};            // an attempt that may run again leaves its engine after so long; 0: never so
-  Micros copy_after{0};            // a later copy; 0: none
+  Micros copy_after{0};            // a later copy; 0: none. Only checked: none is sent yet
   std::optional<double> ration{};  // further attempts for each first one
   double ration_burst{4};
   int limit_least{0}, limit_most{0};  // requests open at a time; 0: no limit
--- a/src/routes/logic/route_logic.cpp
+++ b/src/routes/logic/route_logic.cpp
@@ -94,7 +94,7 @@
   ++limits->entered;
   limits->places.entered();
   limits->shares.entered(tenant);
-  open_[id] = {limits, tenant, now, true};
+  open_[id] = {limits, tenant, now};
   return entry;
 }
 
--- a/src/routes/logic/route_logic.h
+++ b/src/routes/logic/route_logic.h
@@ -77,7 +77,6 @@
     std::shared_ptr<Limits> limits;
     std::size_t tenant{};
     Micros since{0};
-    bool held{false};
   };
   void adopt(RouteSet set, const std::vector<double>& weights);
   void refill(Micros now);
--- a/src/routes/settings.cpp
+++ b/src/routes/settings.cpp
@@ -117,7 +117,7 @@
       .time("TIME", 100 * kMs, 60 * kMinute)
       .standard("as the module sees fit")
       .take([last](const Given& given) { return last().route.terms.move_after = Micros{given.whole(0)}, std::string(); });
-  route.directive("copy-after", "a later copy, once the first attempt's patience is over: never while it is out")
+  route.directive("copy-after", "a later copy of an attempt; checked against the rule on two attempts at once, but not sent yet")
       .time("TIME", 10 * kMs, 60 * kMinute)
       .standard("none")
       .take([last](const Given& given) {
