--- a/tests/edge/story_test.cpp
+++ b/tests/edge/story_test.cpp
@@ -28,6 +28,13 @@
   return options;
 }
 
+// The ledger is durable, on that disk.
+Site::Options recorded_on(const std::shared_ptr<FaultyDisk>& disk) {
+  Site::Options o = options("  ledger /unused 4m\n");
+  o.ledger = [disk] { return disk->index(); };
+  return o;
+}
+
 struct Tablet {
   Tablet(Site& site, const std::string& name, By by = By::kWebSocketJson)
       : device("acme", name), client(site.io, device, site.server->edge_endpoint(), by) {}
@@ -299,12 +306,7 @@
 
 TEST_CASE("edge: a load that cannot be recorded is refused and not run, a lookup runs all the same") {
   auto disk = std::make_shared<FaultyDisk>();
-  Site::Options o = options();
-  o.ledger = [&] { return disk->index(); };
-  Site site(o);
-  site.kill();
-  site.set_conf(o.conf.substr(0, o.conf.size() - 2) + "  ledger /unused 4m\n}\n");
-  site.start();
+  Site site(recorded_on(disk));
   disk->fail_at(disk->operations() + 1, FaultyDisk::Fault::kNoSpace);
   Tablet tablet(site, "tablet");
   tablet.client.connect();
@@ -331,12 +333,7 @@
 
 TEST_CASE("edge: an outcome that cannot be recorded is unknown, and the load is not run again") {
   auto disk = std::make_shared<FaultyDisk>();
-  Site::Options o = options();
-  o.ledger = [&] { return disk->index(); };
-  Site site(o);
-  site.kill();
-  site.set_conf(o.conf.substr(0, o.conf.size() - 2) + "  ledger /unused 4m\n}\n");
-  site.start();
+  Site site(recorded_on(disk));
   disk->fail_at(disk->operations() + 2, FaultyDisk::Fault::kNoSpace);
   Tablet tablet(site, "tablet");
   tablet.client.connect();
