--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -35,6 +35,7 @@
 constexpr double kTrialShare = 0.1, kTrialBurst = 4;  // trials and probes of shunned engines, to arrivals
 constexpr double kPaceFade = 0.1;  // of what is known of an engine's pace fades in a period under crowding
 constexpr int kEnginesMost = 1 << 20;   // indices beyond this are not the caller's own
+constexpr double kKnee = 1.5;           // threads a core beyond which an engine gets less done in total
 constexpr double kFullSays = 4;         // load of an engine that turned a query away, until it tells
 constexpr double kCautious = 0.6;       // of the starting bound is held back at first where gateways are many
 constexpr double kHeadroom = 1.5;       // anti-windup: the bound stays within this of what was asked of it
@@ -316,7 +317,6 @@
     const bool warm = std::find(e.warm.begin(), e.warm.end(), r.group) != e.warm.end();
     if (warm && r.group >= 0) w *= kWarmTilt;
     if ((of(r).load || of(r).yields_to_load) && held(e, r.group)) w *= kHeldTilt;
-    if (of(r).load && e.loads.contains(r.group)) w /= e.loads.at(r.group);
     if (s_.own_zone >= 0 && e.zone != s_.own_zone) w /= 1 + kZoneTilt * s_.cross_zone_cost;
     const double losing = std::max(0.0, e.lost.get(0) - pool_lost_.get(0));
     w *= std::pow(1 - losing, kLossPower);
@@ -474,12 +474,11 @@
     for (std::size_t n = 0; n < pool.size(); ++n) {
       Engine& e = engines_[pool[n].second];
       const bool shun = n < most && pool[n].first - usual >= kShunAt;
-      if (shun && !e.shunned) e.trial_wait = kPeriod, e.trial_at = now_ + kPeriod;
-      if (shun != e.shunned) {
-        act(Log{"engine " + std::to_string(pool[n].second) + (shun ? " shunned" : " back") + ", suspicion " +
-                std::to_string(pool[n].first)});
-      }
+      if (shun == e.shunned) continue;
       e.shunned = shun;
+      if (shun) e.trial_wait = kPeriod, e.trial_at = now_ + kPeriod;
+      act(Log{"engine " + std::to_string(pool[n].second) + (shun ? " shunned" : " back") + ", suspicion " +
+              std::to_string(pool[n].first)});
     }
     choose_subset();
   }
@@ -493,13 +492,11 @@
       const Engine& e = engines_[static_cast<std::size_t>(a.engine)];
       // Notes of one attempt stay away while others come: its connection is dead, or its answer was lost.
       if (now_ - a.heard > 3 * s_.progress && now_ - e.heard < s_.progress) move(id, r);
-      const Micros limit = r.route ? r.route->move_after : Micros{0};
-      if (limit.count() > 0 && now_ - a.sent >= limit) move(id, r);
+      const Micros most = r.route ? r.route->move_after : Micros{0};
+      if (most.count() > 0 && now_ - a.sent >= most) move(id, r);
       const double quiet = ms(now_ - std::max(a.sent, e.heard));
-      if (s_.progress.count() > 0 ? quiet > 3 * ms(s_.progress)
-                                  : quiet > kOverdue * expected(r) + ms(kTick)) {
-        ++overdue[a.engine];
-      }
+      const double limit = s_.progress.count() > 0 ? 3 * ms(s_.progress) : kOverdue * expected(r) + ms(kTick);
+      if (quiet > limit) ++overdue[a.engine];
     }
     for (const auto& [i, count] : overdue) {
       Engine& e = engines_[static_cast<std::size_t>(i)];
@@ -523,11 +520,12 @@
            budget_allows(r) && ms(r.deadline - now_) > expected(r);
   }
 
-  void move(RequestId id, Request& r) {
+  bool move(RequestId id, Request& r) {
     Attempt& a = r.attempts.back();
-    if (a.cancelled || !another_try(r)) return;
+    if (a.cancelled || !another_try(r)) return false;
     a.cancelled = true;
     act(Cancel{id, static_cast<int>(r.attempts.size()) - 1});
+    return true;
   }
 
   Micros patience(const Request& r) const {
@@ -632,8 +630,8 @@
       e.cold_used += cold_work(r);
     }
     // Each trial doubles the wait for the next; further signs of the same trouble do not.
-    if (e.shunned) trials_ -= 1;
-    if (e.shunned) e.trial_at = now_ + e.trial_wait, e.trial_wait = std::min(kTrialMost, 2 * e.trial_wait);
+    if (e.shunned)
+      trials_ -= 1, e.trial_at = now_ + e.trial_wait, e.trial_wait = std::min(kTrialMost, 2 * e.trial_wait);
     r.attempts.push_back({index, now_});
     e.backlog += r.cost;
     e.threads_out += of(r).threads;
@@ -843,20 +841,24 @@
     const double age = ms(now_ - a.sent);
     const double remaining = age / std::clamp(n.amount, 0.01, 1.0) - age;
     slowed(e, *r, age + remaining);
-    const double fresh = expected(*r) * 1.5;
-    if (remaining > kPaceWorse * fresh && now_ + from_ms(remaining) > r->aim) move(n.id, *r);
+    const double fresh = std::max(expected(*r), pool_slowdown_ * r->sigma) * 1.5;
+    if (remaining <= kPaceWorse * fresh || now_ + from_ms(remaining) <= r->aim || moves_ < 1) return;
+    if (move(n.id, *r)) moves_ -= 1;
   }
 
   void report(Engine& e, const LoadReport& load) {
-    std::optional<double> told = load.utilisation;
+    auto told = load.utilisation;
     counted_ = load.in_flight.has_value();
-    if (!told && load.in_flight) told = *load.in_flight * threads_seen_.get(1) / cores(e);
+    if (load.in_flight) {
+      // Cores fall idle where queries wait for disks or memory: then what is in hand tells, not how busy they
+      // are.
+      const double threads = *load.in_flight * threads_seen_.get(1) / cores(e);
+      told = told ? std::max(*told, threads / kKnee) : threads;
+    }
     if (!told) return;
     e.utilisation = std::clamp(*told, 0.0, 100.0);
     pool_load_.add(*e.utilisation);
-    e.told_at = now_;
-    told_at_ = now_;
-    e.sent_since = 0;
+    e.told_at = told_at_ = now_, e.sent_since = 0;
   }
 
   void on(const Closed& c) {
@@ -882,6 +884,7 @@
     }
     if (c.outcome == Outcome::kDelivered) {
       clear(e);
+      moves_ = std::min(kTrialBurst, moves_ + kTrialShare);
       learn(r, c);
       state(r).slowdown.add(slowed(e, r, ms(c.delay)));
       threads_seen_.add(of(r).threads);
@@ -891,9 +894,7 @@
     // engines filled by others or after others died; a stray one on a bursty day costs seconds of a lower
     // bound. "Full" is also a report of load, where reports of busy cores miss the queries that stand still.
     if (c.outcome == Outcome::kShed && crowding_ > 0) {
-      e.utilisation = kFullSays;
-      e.told_at = now_;
-      told_at_ = now_;
+      e.utilisation = kFullSays, e.told_at = told_at_ = now_;
     }
     if (c.outcome == Outcome::kShed)
       e.bound = std::max(std::ceil(mean_cost()), std::min(e.bound, e.backlog + others(e))), e.delta = 0;
@@ -959,14 +960,11 @@
     if (now_ < control_due_) return;
     control_due_ = now_ + kPeriod;
     // Where a gateway sees few finishes, what is out and overdue already tells of the pool as well.
-    double late_sum = 0;
-    double late = 0;
+    double late_sum = 0, late = 0;
     for (const auto& [id, r] : requests_) {
       if (crowding_ <= 0 || !r.out()) continue;
       const double ddr = ms(now_ - r.attempts.back().sent) / std::max(1.0, ms(r.slack));
-      if (ddr <= 1) continue;
-      late_sum += crowding_ * std::min(kDdrMost, ddr);
-      late += crowding_;
+      if (ddr > 1) late_sum += crowding_ * std::min(kDdrMost, ddr), late += crowding_;
     }
     pool_ddr_sum_ += late_sum, pool_finishes_ += late;
     std::vector<double> slow;
@@ -1016,7 +1014,7 @@
   std::multimap<Micros, RequestId> pauses_;
   std::deque<Micros> taken_, extras_;
   Mean pool_lost_, cost_seen_, slack_seen_, threads_seen_, pool_load_;
-  double unit_{1}, pool_slowdown_{1}, pool_ddr_sum_{}, pool_finishes_{}, trials_{1};
+  double unit_{1}, pool_slowdown_{1}, pool_ddr_sum_{}, pool_finishes_{}, trials_{1}, moves_{kTrialBurst};
   bool counted_{};     // reports count the queries in hand, those that stand still too
   double crowding_{};  // part of the gateways that an engine has no room for a query of at once
 };
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -14,6 +14,10 @@
 constexpr Micros kWays{100'000};
 constexpr int kWaysPart = 20;
 constexpr double kSenseless = 100;  // times what a query could use up: no estimate, however rough
+// For debug lines, in the order of the enumerations.
+constexpr std::string_view kOutcomes[] = {"delivered",   "app_error", "shed",    "expired",
+                                          "dial_failed", "dropped",   "revoked", "unused"};
+constexpr std::string_view kVerdicts[] = {"served", "refused", "failed"};
 constexpr Micros kLate{30'000}, kLateLines{200'000};  // what is logged, and how often
 }  // namespace
 
@@ -77,6 +81,13 @@
   arrival.group = q.group;
   arrival.resent = q.resent;
   if (routing_ != nullptr) routing_->arrived(q, arrival);
+  log_.event(Level::kDebug, "arrived",
+             {{"id", q.name},
+              {"class", q.class_name},
+              {"group", q.group},
+              {"work", q.estimate_ms},
+              {"left", arrival.left.count() / 1000},
+              {"again", q.resent}});
   gather(arrival);
 }
 
@@ -91,7 +102,17 @@
   close(open, end.outcome, end.report);
 }
 
-void Coordinator::noted(Note note) { gather(note); }
+void Coordinator::noted(Note note) {
+  const auto at = open_.find(note.id);
+  if (at != open_.end())
+    log_.event(Level::kDebug, "noted",
+               {{"id", at->second.query.name},
+                {"attempt", note.attempt},
+                {"engine", note.engine},
+                {"topic", static_cast<int>(note.topic)},
+                {"amount", note.amount}});
+  gather(note);
+}
 void Coordinator::probed(ProbeResult result) { gather(std::move(result)); }
 
 void Coordinator::listed(ListMode mode, std::vector<EngineEntry> entries, std::vector<EngineChange> changes) {
@@ -117,6 +138,14 @@
   closed.outcome = outcome;
   closed.delay = clock_.now() - open.sent;
   closed.report = report;
+  log_.event(Level::kDebug, "closed",
+             {{"id", open.query.name},
+              {"attempt", closed.attempt},
+              {"engine", closed.engine},
+              {"outcome", kOutcomes[static_cast<std::size_t>(outcome)]},
+              {"ms", closed.delay.count() / 1000},
+              {"util", report.utilisation.value_or(-1)},
+              {"inflight", report.in_flight.value_or(-1)}});
   gather(closed);
 }
 
@@ -225,6 +254,11 @@
   if (open.answered) return;
   open.answered = true;
   --unanswered_;
+  log_.event(Level::kDebug, "answered",
+             {{"id", open.query.name},
+              {"verdict", kVerdicts[static_cast<std::size_t>(answer.verdict)]},
+              {"ms", (now_ - open.query.taken).count() / 1000},
+              {"attempts", open.attempts}});
   if (routing_ != nullptr) {
     using How = Routing::How;
     routing_->left(open.query.id, answer.verdict == Verdict::kServed    ? How::kServed
@@ -268,6 +302,13 @@
   if (send.patience.count() > 0) patience = std::min(patience, send.patience);
   open.out = Out::kOut;
   timeouts_.push({now_ + patience, Due::kAttempt, send.id, open.attempts - 1});
+  log_.event(Level::kDebug, "sent",
+             {{"id", open.query.name},
+              {"attempt", open.attempts - 1},
+              {"engine", send.engine},
+              {"patience", patience.count() / 1000},
+              {"bound", module_.backlog_bound(send.engine)},
+              {"backlog", module_.backlog(send.engine)}});
   engines_->send({open.query, open.attempts - 1, send.engine, patience});
 }
 
