--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -539,7 +539,7 @@
     const bool more =
         of(r).effect == Effect::kRepeatable && static_cast<int>(r.attempts.size()) + 1 < most_tries(r);
     // Where notes are promised, their silence tells sooner what is lost, and their pace what is too slow.
-    if (!more || s_.progress.count() > 0) return Micros{0};
+    if (!more || (crowding_ > 0 && s_.progress.count() > 0)) return Micros{0};
     return from_ms(std::max(kPatience * ms(r.deadline - now_), kOverdue * expected(r)));
   }
 
@@ -846,9 +846,9 @@
     slowed(e, *r, age + remaining);
     const double fresh = expected(*r) * 1.5;
     const bool slow = remaining > kPaceWorse * fresh && now_ + from_ms(remaining) > r->aim;
-    if (slow && moves_ >= 1 && move(n.id, *r)) {
+    if (slow && (crowding_ <= 0 || moves_ >= 1) && move(n.id, *r)) {
       moves_ -= 1;
-    } else if (!r->finished && !a.cancelled && !a.streaming && s_.may_cancel &&
+    } else if (crowding_ > 0 && !r->finished && !a.cancelled && !a.streaming && s_.may_cancel &&
                now_ + from_ms(remaining / kHopeless) > r->deadline) {
       // It cannot end in time, and holds up what can.
       a.cancelled = true;
@@ -864,7 +864,7 @@
       // Cores fall idle where queries wait for disks or memory: then what is in hand tells, not how busy they
       // are.
       const double threads = *load.in_flight * threads_seen_.get(1) / cores(e);
-      told = told ? std::max(*told, threads / kKnee) : threads;
+      if (!told || crowding_ > 0) told = told ? std::max(*told, threads / kKnee) : threads;
     }
     if (!told) return;
     e.utilisation = std::clamp(*told, 0.0, 100.0);
