Share engine connections among queries that may run again, where coordinators are many

Engines hold few. Where there are more coordinators than an engine has cores, up to four attempts that may run again share a connection. One that must not run twice keeps its own, so that no other's spoilt answer costs it its proof. The new story fails without the change (the second query opens a second connection).

--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/coroutine.hpp>
+#include <tuple>
 
 #include "net/buffers.h"
 #include "net/engine_line.h"
@@ -20,9 +21,11 @@
 constexpr double kIdlePart = 0.7;      // of the idle time, after which a connection is not used again
 constexpr Micros kSilence{1'000'000};  // of a connection on which an attempt was then given up
 constexpr std::size_t kOwnPart = 2;    // of the connections serve to give attempts one of their own
+constexpr std::size_t kShared =
+    4;  // attempts on a connection before the next one is opened, where they share
 constexpr std::int64_t kPagesMost = 1024;
 constexpr std::size_t kResultMost = 48'000;
-constexpr std::size_t kWindow = 16;  // pages of a long result that are asked for and not yet here
+constexpr std::size_t kWindow = 16;           // pages of a long result that are asked for and not yet here
 constexpr std::size_t kUnsentMost = 4 << 20;  // commands that an engine does not read
 }  // namespace
 
@@ -79,6 +82,11 @@
   Micros used() const { return used_; }
   bool idle() const { return live_ == 0 && probes_.empty(); }
   std::size_t live() const { return live_; }
+  // Carries what must not run twice: nothing joins it that could spoil its answer.
+  bool alone() const {
+    return std::any_of(slots_.begin(), slots_.end(),
+                       [](const auto& entry) { return entry.second.alone && !entry.second.abandoned; });
+  }
   Micros opened() const { return opened_; }
 
   void serve(const Dispatch& dispatch) {
@@ -90,6 +98,7 @@
     slot.deadline = dispatch.query.taken + dispatch.query.limit;
     slot.sink = dispatch.query.sink;
     slot.result_most = slot.sink != nullptr ? dispatch.query.result_most : kResultMost;
+    slot.alone = pool_.runs_once(dispatch.query);
     slots_.emplace(dispatch.query.id, std::move(slot));
     ++live_;
     out_.push(serve_command(dispatch), last_tag_);
@@ -210,7 +219,8 @@
     std::uint64_t tag{};
     Micros sent{0};
     bool abandoned{};
-    Micros deadline{0};              // of the request; its id is not sent again after that
+    bool alone{};
+    Micros deadline{0};  // of the request; its id is not sent again after that
     PageSink* sink{};
     std::size_t result_most{};
     std::size_t count{};             // of the pages, once it was acknowledged
@@ -356,8 +366,9 @@
     }
     if (slot.count > 0) return true;  // a second copy
     // A page of a long result holds a row at least, and a row two bytes.
-    const auto most = slot.sink != nullptr ? std::max(kPagesMost, static_cast<std::int64_t>(slot.result_most / 2))
-                                           : kPagesMost;
+    const auto most = slot.sink != nullptr
+                          ? std::max(kPagesMost, static_cast<std::int64_t>(slot.result_most / 2))
+                          : kPagesMost;
     if (count < 1 || count > most || !whole_rows(answer.body)) return false;
     slot.count = static_cast<std::size_t>(count);
     if (slot.sink == nullptr) slot.pages.resize(slot.count);
@@ -468,9 +479,15 @@
   engine.came_up = change.came_up;
 }
 
+bool EnginePool::runs_once(const Query& query) const {
+  const auto& classes = coordinator_.settings().classes;
+  return classes[static_cast<std::size_t>(query.cls)].effect == Effect::kOnce;
+}
+
 // An attempt gets a connection to itself as long as there are enough of them: what spoils, cuts or resets a
-// connection then costs one attempt, and not all that share it.
-std::shared_ptr<EnginePool::Line> EnginePool::pick(int index, std::optional<RequestId> id) {
+// connection then costs one attempt, and not all that share it. Where coordinators are many, a connection for
+// each is a handshake for each and a place for each that the engines have not: what may run again shares.
+std::shared_ptr<EnginePool::Line> EnginePool::pick(int index, std::optional<RequestId> id, bool alone) {
   if (index < 0 || static_cast<std::size_t>(index) >= engines_.size()) return nullptr;
   Engine& engine = engines_[static_cast<std::size_t>(index)];
   if (!engine.endpoint) return nullptr;
@@ -478,14 +495,14 @@
   for (const auto& line : engine.lines) {
     if (!line->can_take(id)) continue;
     // Of those that carry nothing the one used last: the others may then grow old and go.
-    const bool better = !least || line->live() < least->live() ||
-                        (line->live() == least->live() && line->used() > least->used());
-    if (better) least = line;
+    const auto rank = std::tuple(line->alone(), line->live(), -line->used());
+    if (!least || rank < std::tuple(least->alone(), least->live(), -least->used())) least = line;
   }
   if (least && least->live() == 0) return least;
   // A probe tells as much on a connection that carries something.
   if (least && !id) return least;
   // Where attempts are many they share: a handshake for each, and a write to each, would delay all of them.
+  if (least && limits_.sharing && !alone && !least->alone() && least->live() < kShared) return least;
   const bool many = connections_ >= limits_.connections / kOwnPart;
   if ((least && many) || !room_for(index, !least)) return least;
   ++connections_;
@@ -520,7 +537,7 @@
 void EnginePool::send(const Dispatch& dispatch) {
   const auto index = static_cast<std::size_t>(dispatch.engine);
   const bool open = index < engines_.size() && engines_[index].standing == Standing::kReady;
-  const auto line = open ? pick(dispatch.engine, dispatch.query.id) : nullptr;
+  const auto line = open ? pick(dispatch.engine, dispatch.query.id, runs_once(dispatch.query)) : nullptr;
   if (!line) return never_written(dispatch.query.id, dispatch.attempt);
   where_[dispatch.query.id] = line;
   line->serve(dispatch);
--- a/src/net/engine_pool.h
+++ b/src/net/engine_pool.h
@@ -25,6 +25,7 @@
     Micros idle{0};             // engines close a connection that has carried nothing for so long
     std::size_t connections{};  // to all engines at a time
     bool reports{};             // probes ask for the load report
+    bool sharing{};             // attempts that may run again share connections from the first on
   };
 
   EnginePool(Strand strand, Coordinator& coordinator, EventLog& log, Limits limits);
@@ -46,7 +47,8 @@
     std::vector<std::shared_ptr<Line>> lines;
   };
 
-  std::shared_ptr<Line> pick(int engine, std::optional<RequestId> id);
+  std::shared_ptr<Line> pick(int engine, std::optional<RequestId> id, bool alone = false);
+  bool runs_once(const Query& query) const;
   bool room_for(int engine, bool needed);
   void drop(int engine, const Line* line);
   void never_written(RequestId id, int attempt);
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -1,5 +1,6 @@
 #include "server.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <csignal>
 
@@ -160,6 +161,11 @@
   EnginePool::Limits limits = config_.engines;
   const std::size_t taken = client_limit() + std::min(config_.sockets / 4, kOwnDescriptors);
   limits.connections = std::max<std::size_t>(1, config_.sockets - std::min(taken, config_.sockets));
+  // An engine has no core for a query of each coordinator, and no place for a connection of each attempt.
+  const auto& kinds = config_.settings.kinds;
+  limits.sharing = std::any_of(kinds.begin(), kinds.end(), [this](const KindSettings& kind) {
+    return config_.settings.gateways > kind.cores;
+  });
   // Readers' connections and the spool's own files come out of the engines' part.
   const std::size_t spool = conf_.spool.on ? conf_.spool.sessions + kSpoolDescriptors : 0;
   const std::size_t edge = conf_.edge.on ? conf_.edge.connections + kSpoolDescriptors : 0;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -517,6 +517,30 @@
   CHECK(served.field == 0);
 }
 
+// Guards against a connection for each attempt of hundreds of coordinators, against engines that hold few; and against
+// a load that is lost with what another query has spoilt.
+TEST_CASE("where coordinators are many, what may run again shares connections, and a load has its own") {
+  World w(1, [](json& from) { from["settings"]["balancers"] = 300; });
+  const auto client = w.client();
+  const auto light = [](int call, const std::string& id, const std::string& verb) {
+    return execute(call, {{"txn", id}, {"verb", verb}, {"limit", "9000"}, {"cpu", "1"}});
+  };
+  for (int i = 0; i < 3; ++i) client->write(light(i, "00000000000000d" + std::to_string(i), "lookup"));
+  w.until([&] {
+    return w.engines[0]->has(0, "serve 00000000000000d0") && w.engines[0]->has(0, "serve 00000000000000d1") &&
+           w.engines[0]->has(0, "serve 00000000000000d2");
+  });
+  client->write(light(3, kId, "load"));
+  w.until([&] { return w.engines[0]->has(1, "serve " + kId); });
+  client->write(light(4, "00000000000000d4", "lookup"));
+  w.until([&] { return w.engines[0]->has(0, "serve 00000000000000d4"); });
+  CHECK(w.engines[0]->peer(2) == nullptr);
+  for (const char* id : {"00000000000000d0", "00000000000000d1", "00000000000000d2", "00000000000000d4"})
+    w.engines[0]->peer(0)->write(ack(id, "x\t\t\n"));
+  w.engines[0]->peer(1)->write(ack(kId, "x\t\t\n"));
+  for (int i = 0; i < 5; ++i) CHECK(w.answer(*client).field == 0);
+}
+
 // Guards against a connection on which an answer was swallowed: the next request on it would wait as well.
 TEST_CASE("an attempt that falls silent begins anew, and its connection is not used again") {
   World w(1, [](json& from) { from["settings"]["family_info"]["progress_us"] = 500000; });
