Spread reconnects to the directory: exponential pauses with full jitter

A directory that falls silent loses every coordinator at the same moment; all came back after the same 200 ms, try after try (Directory::again). Pauses are now drawn from 0 to a reach that doubles from 0.2 to 0.8 s, by the coordinator's seed; with 2.2 s of silence and a connect that fails this stays under the 4 s after which news counts as told. No price or rule was seen to hang on it (a suspect, not a finding). Guarded by a test over 300 seeds.

--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -15,7 +15,8 @@
 // two lines missed are enough to ask again.
 constexpr std::chrono::milliseconds kSilenceMost{2200};
 constexpr std::chrono::milliseconds kConnectMost{1000};
-constexpr std::chrono::milliseconds kPause{200};  // between connections
+// Between connections. With the silence and one connect that fails it stays within what a change may be late by.
+constexpr std::chrono::milliseconds kPause{200}, kPauseMost{800};
 constexpr std::size_t kLongestLine = 4 << 20;
 
 const std::map<std::string, Standing> kStates = {
@@ -23,7 +24,7 @@
 }  // namespace
 
 Directory::Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables,
-                     tcp::endpoint source, Micros reference)
+                     tcp::endpoint source, Micros reference, std::uint64_t seed)
     : strand_(strand),
       coordinator_(coordinator),
       log_(log),
@@ -32,7 +33,8 @@
       socket_(strand),
       silence_(strand),
       pause_(strand),
-      reference_(reference) {}
+      reference_(reference),
+      backoff_(seed, kPause, kPauseMost) {}
 
 void Directory::load(const json& known) {
   for (const json& event : known.at("updates")) apply(event, last_ == 0);
@@ -81,7 +83,7 @@
   error_code ignored;
   socket_.close(ignored);
   silence_.cancel();
-  pause_.expires_after(kPause);
+  pause_.expires_after(backoff_.next());
   pause_.async_wait([this](error_code error) {
     if (!error) follow();
   });
@@ -130,6 +132,7 @@
     if (index > last_ + 1) throw std::runtime_error("event " + std::to_string(last_ + 1) + " is missing");
     apply(message, false);
   }
+  backoff_.reset();
   if (std::exchange(failing_, false)) log_.line("directory followed again, at " + std::to_string(last_));
 }
 
--- a/src/net/directory.h
+++ b/src/net/directory.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
+#include "base/backoff.h"
 #include "core/coordinator.h"
 #include "net/buffers.h"
 #include "settings_json.h"
@@ -17,7 +18,7 @@
  public:
   // An engine that is gone for longer than `reference` is in nobody's hands any more.
   Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables, tcp::endpoint source,
-            Micros reference);
+            Micros reference, std::uint64_t seed);
 
   // The events of the start, as the configuration holds them. Throws on what cannot be read.
   void load(const nlohmann::json& known);
@@ -51,6 +52,7 @@
   std::string hello_;
   std::int64_t last_{0};
   Micros reference_;
+  Backoff backoff_;
   std::map<int, Micros> gone_;  // since when
   bool failing_{false};
 };
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -28,7 +28,8 @@
       engines_(strand_, coordinator_, log_, engine_limits()),
       front_(strand_, coordinator_, log_, config_.tables,
              {.sessions = client_limit(), .store = (config_.memory_mb << 20) / kStorePart}),
-      directory_(strand_, coordinator_, log_, config_.tables, config_.directory, reference_time()) {
+      directory_(strand_, coordinator_, log_, config_.tables, config_.directory, reference_time(),
+                 config_.seed) {
   coordinator_.attach(engines_);
   start_parts(std::move(substitutes), std::move(ledger));
 }
--- a/tests/base/logic_test.cpp
+++ b/tests/base/logic_test.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck/catch.h>
 #include <set>
 
+#include "base/backoff.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/timing_wheel.h"
@@ -172,3 +173,28 @@
   CHECK(done.size() >= 3);
   CHECK(std::is_sorted(done.begin(), done.end()));
 }
+
+// Guards against hundreds of coordinators that lose the directory together and come back together, try after try.
+TEST_CASE("three hundred that lose the same peer at once come back spread over the whole pause") {
+  using std::chrono::milliseconds;
+  for (int tries = 1; tries <= 4; ++tries) {
+    const int reach = std::min(800, 200 << (tries - 1));
+    std::map<std::int64_t, int> tenths;
+    for (std::uint64_t seed = 0; seed < 300; ++seed) {
+      Backoff backoff(seed, milliseconds(200), milliseconds(800));
+      Backoff::Micros pause{};
+      for (int i = 0; i < tries; ++i) pause = backoff.next();
+      CHECK(pause <= milliseconds(reach));
+      ++tenths[pause.count() / (reach * 100)];
+    }
+    for (const auto& [_, count] : tenths) CHECK(count < 60);  // of 30 on average
+    CHECK(tenths.size() >= 10);
+  }
+}
+
+TEST_CASE("a pause begins small again after a success") {
+  Backoff backoff(7, std::chrono::milliseconds(10), std::chrono::seconds(10));
+  for (int i = 0; i < 20; ++i) backoff.next();
+  backoff.reset();
+  CHECK(backoff.next() <= std::chrono::milliseconds(10));
+}
