--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,5 +1,9 @@
 // What is harmless in one gateway and harmful in all of them, one test for each failure met on the days of
 // the whole fleet.
+#include <deque>
+#include <memory>
+#include <random>
+
 #include "harness.h"
 
 namespace steprail::testing {
@@ -149,5 +153,79 @@
   }
 }
 
+// One engine starts cold before three hundred gateways, each with a part of what it can take that is under
+// one query, with traffic that is thin and uneven, and with seven in ten of them just started. All of them
+// together must not push it over, and must not starve it either.
+TEST(Fleet, AllGatewaysTogetherDoNotPushAColdEngineOver) {
+  constexpr int kGateways = 300, kEngines = 40, kCold = 0;
+  constexpr double kWork = 100;
+  constexpr Micros kStep = 10ms;
+  for (const bool restarted : {false, true}) {
+    Settings settings = fleet();
+    settings.overload_factor = 4;
+    settings.fall_after = 1500ms;
+    std::vector<std::unique_ptr<Script>> scripts;
+    std::vector<double> shares;
+    for (int own = 0; own < kGateways; ++own) {
+      settings.own_number = own;
+      scripts.push_back(std::make_unique<Script>(settings, kEngines, static_cast<std::uint64_t>(own) + 1));
+      shares.push_back(own % 10 == 0 ? 5 : own % 3 == 0 ? 1 : 0.5);
+    }
+    std::mt19937_64 random(7);
+    std::discrete_distribution<int> whose(shares.begin(), shares.end());
+    struct Out {
+      Micros until{0};
+      int gateway{};
+      RequestId id{};
+    };
+    std::deque<Out> out;
+    std::vector<Micros> sent;
+    const Micros came_up = 2s, end = came_up + 5s;
+    RequestId next = 0;
+    int taken = 0, admitted = 0;
+    for (Micros now = 1s; now < end; now += kStep) {
+      if (now == came_up) {
+        for (int own = 0; own < kGateways; ++own) {
+          auto& script = scripts[static_cast<std::size_t>(own)];
+          if (restarted && own % 10 < 7) {
+            settings.own_number = own;
+            script = std::make_unique<Script>(settings, kEngines, static_cast<std::uint64_t>(own) + 1000);
+            script->now = now;
+            std::erase_if(out, [own](const Out& o) { return o.gateway == own; });
+          }
+          script->feed(
+              ListNews{.mode = ListMode::kIncremental, .entries = {{.engine = kCold, .came_up = now}}});
+        }
+      }
+      for (auto& script : scripts) script->wait(now - script->now);
+      while (!out.empty() && out.front().until <= now) {
+        Script& script = *scripts[static_cast<std::size_t>(out.front().gateway)];
+        const bool cold = script.at[out.front().id] == kCold;
+        answer(script, out.front().id, {.utilisation = cold ? 0.2 : 0.6, .in_flight = cold ? 1.0 : 5.0});
+        out.pop_front();
+      }
+      for (int i = 0; i < 20; ++i) {
+        const int gateway = whose(random);
+        Script& script = *scripts[static_cast<std::size_t>(gateway)];
+        script.arrive(++next, kWork);
+        ++taken;
+        if (script.count<Send>() == 0) continue;
+        ++admitted;
+        out.push_back({now + 100ms, gateway, next});
+        if (script.at[next] == kCold && now >= came_up) sent.push_back(now);
+      }
+    }
+    // What it can do at its coldest, for the length of a window.
+    const double budget = settings.overload_factor * settings.kinds[0].cores * settings.cold_from * 1500;
+    std::size_t from = 0;
+    for (std::size_t to = 0; to < sent.size(); ++to) {
+      while (sent[to] - sent[from] > settings.fall_after) ++from;
+      EXPECT_LT(kWork * static_cast<double>(to - from + 1), budget) << restarted;
+    }
+    EXPECT_GT(sent.size(), 30u) << restarted;
+    EXPECT_GT(admitted, taken * 9 / 10) << restarted;
+  }
+}
+
 }  // namespace
 }  // namespace steprail::testing
