--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -18,14 +18,7 @@
 }
 
 void answer(Script& script, RequestId id, const LoadReport& report, Micros delay = 100ms) {
-  script.feed(Closed{.id = id,
-                     .attempt = script.attempts[id] - 1,
-                     .engine = script.at[id],
-                     .outcome = Outcome::kDelivered,
-                     .delay = delay,
-                     .ended = true,
-                     .true_work_ms = 100,
-                     .report = report});
+  script.answer(id, delay, report);
 }
 
 // Engines that page have idle cores. Every gateway of a fleet took that for room, filled it, and made it
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -96,6 +96,18 @@
                        .report = {}});
   }
 
+  // Answers the request's latest attempt, with the engine's report.
+  void answer(RequestId id, Micros delay, const LoadReport& report) {
+    feed(Closed{.id = id,
+                .attempt = attempts[id] - 1,
+                .engine = at[id],
+                .outcome = Outcome::kDelivered,
+                .delay = delay,
+                .ended = true,
+                .true_work_ms = 100,
+                .report = report});
+  }
+
   // One query admitted, answered after `delay`.
   void serve(RequestId id, Micros delay, double work = 100) {
     arrive(id, work);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -16,14 +16,7 @@
 }
 
 void answer(Script& script, RequestId id, Micros delay, double in_flight) {
-  script.feed(Closed{.id = id,
-                     .attempt = script.attempts[id] - 1,
-                     .engine = script.at[id],
-                     .outcome = Outcome::kDelivered,
-                     .delay = delay,
-                     .ended = true,
-                     .true_work_ms = 100,
-                     .report = {.in_flight = in_flight}});
+  script.answer(id, delay, {.in_flight = in_flight});
 }
 
 // Eight cores of one-thread queries hold eight at once: the bound is split between no more gateways than
