Hold SIGTERM and SIGHUP from the first line of main until they have handlers

Seen: a test that sends SIGTERM while the configuration is being read finds the process ended by signal 15 (`-15 == 0`), and one that sends SIGHUP then finds no process at all: main.cpp read the settings and the saved list before Server::start registered its signals, and the default action of both ends a process.

Now both are blocked from the first line of main and released behind the registration; what came before is delivered then. Before main the deploy file's shell leaves SIGHUP ignored: the configuration is read later anyway.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,12 +2,14 @@
 #include <CLI/CLI.hpp>
 #include <iostream>
 
+#include "base/signals.h"
 #include "commands/explain.h"
 #include "commands/plan.h"
 #include "server.h"
 
 int main(int argc, char** argv) {
   using namespace steprail;
+  hold_signals();
   CLI::App app{"steprail: a coordinator in front of query engines"};
   app.require_subcommand(1);
   std::string path, own, word;
@@ -35,6 +37,8 @@
   plan->add_option("--traffic", traffic, "what comes: rates, times and losses, by class")->required();
   CLI::App* version = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
+  // The other commands are ended by what ends any command; serving takes its signals once it has handlers.
+  if (!*serve) release_signals();
   try {
     if (*version) std::cout << "steprail " STEPRAIL_VERSION "\n";
     if (*help) {
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <csignal>
+
+#include "base/signals.h"
 
 namespace steprail {
 
@@ -78,6 +79,7 @@
   signals_.add(SIGHUP);
   if (!conf_.metrics_file.empty()) signals_.add(SIGUSR1);
   await_signal();
+  release_signals();
   coordinator_.start();
   directory_.load(config_.known);
   directory_.follow();
