Leave out list rows that cannot be understood, instead of not starting or following anew for ever

Seen in the tests: a saved list with one row of a zone, kind or state that the settings do not name ended the start (`unknown zone 'nowhere'`, exit 1); the same row on the stream made its line bad, and the stream was followed anew from the event before it without end, so that nothing behind it, drains among it, was ever heard. At fault: Directory::apply and read_row, which threw for the whole event, and Directory::load, whose exception left main.

Now a row is left out with a log line (eight an event, then how many besides); a row that says that a known engine goes needs nothing but its name and state. A line that stays unreadable when it is asked for a third time is passed over. A saved list that cannot be read, or is not there, is no reason not to start: the stream tells it. Rows that say nothing new are not logged again: a whole list wrote a line for each engine at each coordinator.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -35,7 +35,8 @@
   const json& limits = from.at("limits");
   config.memory_mb = limits.at("memory_mb");
   config.sockets = limits.at("sockets");
-  config.known = from.at("known");
+  // The stream tells the list as well.
+  config.known = optional_field(from, "known", json::object());
   const json& params = from.at("settings");
   config.settings = read_settings(params, config.tables);
   validate(config.settings);
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -1,9 +1,9 @@
 #include "net/directory.h"
 
 #include <boost/asio/write.hpp>
-#include <set>
+#include <unordered_set>
 
-#include "net/engine_line.h"
+#include "net/engine_pool.h"
 
 namespace steprail {
 
@@ -18,9 +18,16 @@
 // Between connections. With the silence and one connect that fails it stays within what a change may be late by.
 constexpr std::chrono::milliseconds kPause{200}, kPauseMost{800};
 constexpr std::size_t kLongestLine = 4 << 20;
+constexpr std::size_t kLeftOutLines = 8;  // in the log, of one event
+// A line cut or garbled on its way comes whole when it is asked for again; one that never does is passed over.
+constexpr int kBadMost = 3;
 
 const std::map<std::string, Standing> kStates = {
     {"active", Standing::kReady}, {"leaving", Standing::kDraining}, {"left", Standing::kGone}};
+
+struct Missing : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
 }  // namespace
 
 Directory::Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables,
@@ -36,9 +43,14 @@
       reference_(reference),
       backoff_(seed, kPause, kPauseMost) {}
 
+// Where the saved list ends in what cannot be read, the stream tells the rest.
 void Directory::load(const json& known) {
-  for (const json& event : known.at("updates")) apply(event, last_ == 0);
-  last_ = std::max(last_, known.at("index").get<std::int64_t>());
+  try {
+    for (const json& event : known.at("updates")) apply(event, last_ == 0);
+    last_ = std::max(last_, known.at("index").get<std::int64_t>());
+  } catch (const std::exception& fault) {
+    log_.line("the saved list cannot be read behind event " + std::to_string(last_) + ": " + fault.what());
+  }
 }
 
 void Directory::follow() {
@@ -110,10 +122,16 @@
     }
     try {
       take(bytes.substr(0, end));
+    } catch (const Missing& fault) {
+      again(fault.what());
+      return false;
     } catch (const std::exception& fault) {
       failing_ = false;  // each bad line is worth its own line in the log
-      again(std::string("bad line: ") + fault.what());
-      return false;
+      if (++bad_ < kBadMost) {
+        again(std::string("bad line: ") + fault.what());
+        return false;
+      }
+      log_.line("line of the directory passed over behind event " + std::to_string(last_) + ": " + fault.what());
     }
     in_.consume(end + 1);
   }
@@ -123,31 +141,48 @@
   if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
   if (line.empty()) return;
   const json message = json::parse(line);
+  // What was passed over on this connection may have been the event that is missing.
+  const bool passed = bad_ >= kBadMost;
+  const auto missing = [this] { return Missing("event " + std::to_string(last_ + 1) + " is missing"); };
   if (message.is_number_integer()) {
     const auto told = message.get<std::int64_t>();
-    if (told > last_) throw std::runtime_error("event " + std::to_string(last_ + 1) + " is missing");
+    if (told > last_ && !passed) throw missing();
+    last_ = std::max(last_, told);
   } else {
     const auto index = message.at("index").get<std::int64_t>();
     if (index <= last_) return;
-    if (index > last_ + 1) throw std::runtime_error("event " + std::to_string(last_ + 1) + " is missing");
-    apply(message, false);
+    if (index > last_ + 1 && !passed) throw missing();
+    apply(message, last_ == 0);
   }
+  bad_ = 0;
   backoff_.reset();
   if (std::exchange(failing_, false)) log_.line("directory followed again, at " + std::to_string(last_));
 }
 
+// Throws where the row cannot be understood.
 Directory::Row Directory::read_row(const json& row) {
   Row read;
-  read.entry.engine = tables_.engines.add(row.at("name").get<std::string>());
-  read.entry.name = name_hash(row.at("name").get<std::string>());
-  read.entry.zone = tables_.zones.find(row.at("zone"), "zone");
-  read.entry.kind = tables_.kinds.find(row.at("type"), "type");
-  read.entry.cell = optional_field(row, "group", 0);
-  read.entry.standing = choose(row.at("status").get<std::string>(), kStates, "status");
-  read.entry.weight = optional_field(row, "weight", 1.0);
-  read.entry.came_up = Micros{optional_field<std::int64_t>(row, "since_ms", 0) * 1000};
-  read.change = {read.entry.engine, row.at("name"), row.at("address"), read.entry.standing,
-                 read.entry.came_up};
+  const std::string name = row.at("name");
+  if (name.empty()) throw std::runtime_error("a name is empty");
+  const Standing standing = choose(row.at("status").get<std::string>(), kStates, "status");
+  const auto known = rows_.find(tables_.engines.index(name));
+  if (standing != Standing::kReady && known != rows_.end()) {
+    // Of one that goes nothing more has to be understood than which it is: a drain must be heard of.
+    read = known->second;
+  } else {
+    read.entry.zone = tables_.zones.find(row.at("zone"), "zone");
+    read.entry.kind = tables_.kinds.find(row.at("type"), "type");
+    read.entry.cell = optional_field(row, "group", 0);
+    read.entry.weight = optional_field(row, "weight", 1.0);
+    read.entry.came_up = Micros{optional_field<std::int64_t>(row, "since_ms", 0) * 1000};
+    read.change.address = row.at("address");
+    if (!parse_address(read.change.address)) throw std::runtime_error("no address: '" + read.change.address + "'");
+  }
+  // Last: a row that is left out takes no number.
+  read.entry.engine = tables_.engines.add(name);
+  read.entry.name = name_hash(name);
+  read.entry.standing = standing;
+  read.change = {read.entry.engine, name, read.change.address, standing, read.entry.came_up};
   return read;
 }
 
@@ -157,26 +192,42 @@
   std::erase_if(gone_, [this](const auto& entry) {
     if (coordinator_.now() - entry.second <= reference_) return false;
     tables_.engines.forget(entry.first);
+    rows_.erase(entry.first);
     return true;
   });
 }
 
-// All of an event is read before any of it is used: a bad line changes nothing.
+// All of an event is read before any of it is used. A row that cannot be understood is left out, and the others hold.
 void Directory::apply(const json& event, bool first) {
   forget_gone();
+  const auto index = event.at("index").get<std::int64_t>();
   const json& news = event.at("endpoints");
   const bool whole = optional_field(news, "snapshot", false) || first;
   std::vector<EngineEntry> entries;
   std::vector<EngineChange> changes;
-  std::set<int> named;
+  std::unordered_set<int> named;
+  std::size_t left_out = 0;
   for (const json& row : news.at("endpoints")) {
-    Row read = read_row(row);
-    named.insert(read.entry.engine);
-    log_.line("engine " + std::to_string(read.entry.engine) + " is " + read.change.name + " at " +
-              read.change.address + ", " + row.at("status").get<std::string>());
-    entries.push_back(read.entry);
-    changes.push_back(std::move(read.change));
+    try {
+      Row read = read_row(row);
+      named.insert(read.entry.engine);
+      Row& known = rows_[read.entry.engine];
+      const EngineChange& was = known.change;
+      if (was.name != read.change.name || was.address != read.change.address || was.standing != read.change.standing ||
+          was.came_up != read.change.came_up)
+        log_.line("engine " + std::to_string(read.entry.engine) + " is " + read.change.name + " at " +
+                  read.change.address + ", " + row.at("status").get<std::string>());
+      known = read;
+      entries.push_back(read.entry);
+      changes.push_back(std::move(read.change));
+    } catch (const std::exception& fault) {
+      if (++left_out <= kLeftOutLines)
+        log_.line("a row of event " + std::to_string(index) + " is left out: " + fault.what());
+    }
   }
+  if (left_out > kLeftOutLines)
+    log_.line("rows of event " + std::to_string(index) + " left out besides: " +
+              std::to_string(left_out - kLeftOutLines));
   // What a whole list does not hold is gone.
   for (const auto& [name, engine] : tables_.engines.known()) {
     if (whole && !named.contains(engine)) changes.push_back({engine, name, {}, Standing::kGone, {}});
@@ -184,11 +235,12 @@
   for (const EngineChange& change : changes) {
     if (change.standing == Standing::kGone) {
       gone_.try_emplace(change.engine, coordinator_.now());
+      rows_[change.engine].change.standing = Standing::kGone;
     } else {
       gone_.erase(change.engine);
     }
   }
-  last_ = event.at("index").get<std::int64_t>();
+  last_ = index;
   coordinator_.listed(first   ? ListMode::kSaved
                       : whole ? ListMode::kFull
                               : ListMode::kIncremental,
--- a/src/net/directory.h
+++ b/src/net/directory.h
@@ -20,11 +20,12 @@
   Directory(Strand strand, Coordinator& coordinator, EventLog& log, Tables& tables, tcp::endpoint source,
             Micros reference, std::uint64_t seed);
 
-  // The events of the start, as the configuration holds them. Throws on what cannot be read.
+  // The events of the start, as the configuration holds them.
   void load(const nlohmann::json& known);
   void follow();
   // The directory has another address now; what it had told before still holds.
   void move_to(const tcp::endpoint& source);
+  std::int64_t last() const { return last_; }
 
  private:
   struct Row {
@@ -53,7 +54,9 @@
   std::int64_t last_{0};
   Micros reference_;
   Backoff backoff_;
-  std::map<int, Micros> gone_;  // since when
+  std::map<int, Micros> gone_;         // since when
+  std::unordered_map<int, Row> rows_;  // as last told
+  int bad_{0};                         // lines in a row that could not be read
   bool failing_{false};
 };
 
--- a/src/server.h
+++ b/src/server.h
@@ -30,6 +30,8 @@
   // As at SIGHUP: reads the configuration's file again and follows the directory at the address it names.
   void reload();
   boost::asio::io_context& io() { return io_; }
+  // The last event of the list that was taken.
+  std::int64_t listed() const { return directory_.last(); }
   tcp::endpoint endpoint() const { return endpoint_; }
   // Of the second service, where it is on.
   tcp::endpoint reader_endpoint() const { return reader_endpoint_; }
