Give each life of a request's id its own time-outs

Seen in the new test: a load answered after 2 ms under a limit of 1 s, whose id its client uses again with 9 s, was answered failed at 0.95 s of the first one's time (`w.answer(*client).field == 0 for: 2 == 0`). The entries of Coordinator::timeouts_ name a request by its id alone; those of the first life (kAttempt, kRequest) were still queued and gave up the attempt of the second, in a debug build with a failed invariant, which ends the process.

A request whose attempt is just being closed at its last moment is looked at again, so that its answer cannot hang on the module alone.

--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -66,11 +66,12 @@
   STEPRAIL_INVARIANT(log_, fresh);
   if (!fresh) return;
   Open& open = at->second;
+  open.life = ++lives_;
   open.deadline = query.taken + query.limit - std::min(kWays, query.limit / kWaysPart);
   open.query = std::move(query);
   ++unanswered_;
   const Query& q = open.query;
-  timeouts_.push({open.deadline + settings_.answer_slack / 2, Due::kRequest, q.id, 0});
+  timeouts_.push({open.deadline + settings_.answer_slack / 2, Due::kRequest, q.id, open.life, 0});
   Arrival arrival;
   arrival.id = q.id;
   arrival.cls = q.cls;
@@ -165,7 +166,7 @@
     if (at == open_.end()) continue;
     const Open& open = at->second;
     const Micros told = open.answered ? now : std::min(now + kCancelStart, std::max(now, open.deadline));
-    timeouts_.push({told, Due::kGivenUp, id, open.attempts - 1});
+    timeouts_.push({told, Due::kGivenUp, id, open.life, open.attempts - 1});
   }
   given_up_.clear();
 }
@@ -208,13 +209,16 @@
       continue;
     }
     const auto at = open_.find(due.id);
-    if (at == open_.end()) continue;
+    if (at == open_.end() || at->second.life != due.life) continue;
     Open& open = at->second;
     if (due.what == Due::kAttempt) {
       if (open.out == Out::kOut && due.attempt == open.attempts - 1) give_up(open, Outcome::kExpired);
     } else if (due.what == Due::kGivenUp) {
       close(open, open.given_up);
-    } else if (!open.answered && open.out == Out::kNone) {
+    } else if (!open.answered && open.out != Out::kNone) {
+      // Its attempt is on the way to its end, and the module's last word comes with that: look again.
+      timeouts_.push({now_ + kCancelStart, Due::kRequest, due.id, due.life, 0});
+    } else if (!open.answered) {
       // The module answers before a client's deadline; one that it forgot must still get its answer.
       STEPRAIL_INVARIANT(log_, open.answered);
       gathered_.push_back(ClientGone{due.id});
@@ -301,7 +305,7 @@
   Micros patience = open.deadline - now_;
   if (send.patience.count() > 0) patience = std::min(patience, send.patience);
   open.out = Out::kOut;
-  timeouts_.push({now_ + patience, Due::kAttempt, send.id, open.attempts - 1});
+  timeouts_.push({now_ + patience, Due::kAttempt, send.id, open.life, open.attempts - 1});
   log_.event(Level::kDebug, "sent",
              {{"id", open.query.name},
               {"attempt", open.attempts - 1},
@@ -335,7 +339,7 @@
 }
 
 void Coordinator::carry_out(const Probe& probe) { engines_->probe(probe.engine); }
-void Coordinator::carry_out(const Timer& timer) { timeouts_.push({timer.due, Due::kAlarm, timer.label, 0}); }
+void Coordinator::carry_out(const Timer& timer) { timeouts_.push({timer.due, Due::kAlarm, timer.label, 0, 0}); }
 void Coordinator::carry_out(const Log& text) { log_.line(text.text); }
 
 }  // namespace steprail
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -52,6 +52,7 @@
   enum class Out { kNone, kOut, kClosing };  // kClosing: its end waits for the module's next batch
   struct Open {
     Query query;
+    std::uint64_t life{};  // of the id: a client may use it again once it has its answer
     Micros deadline{0};
     bool answered{};
     int attempts{};  // sent so far; the last of them may be out
@@ -65,7 +66,8 @@
   struct Timeout {
     Micros at{0};
     Due what{Due::kAlarm};
-    std::uint64_t id{};  // of the request; an alarm's label
+    std::uint64_t id{};    // of the request; an alarm's label
+    std::uint64_t life{};  // of the request
     int attempt{};
     bool operator>(const Timeout& other) const { return at > other.at; }
   };
@@ -106,6 +108,7 @@
   bool turn_posted_{false};
   Micros now_{0}, next_late_line_{0};
   std::size_t unanswered_{0};
+  std::uint64_t lives_{0};
   std::unordered_map<RequestId, Open> open_;
   std::priority_queue<Timeout, std::vector<Timeout>, std::greater<>> timeouts_;
   std::vector<Event> gathered_, batch_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -427,6 +427,24 @@
   w.until([&] { return w.server->io().stopped(); });
 }
 
+// Guards against the time-outs of a request that has long been answered, for a new one under its id.
+TEST_CASE("an id that comes again after its answer has its own time") {
+  World w(1);
+  const auto client = w.client();
+  client->write(query(1, kId, "load", "1000"));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId); });
+  const auto start = std::chrono::steady_clock::now();
+  w.engines[0]->peer(0)->write(ack(kId, "x\t\t\n"));
+  CHECK(w.answer(*client).field == 0);
+  w.engines[0]->peer(0)->in.clear();
+  client->write(query(2, kId, "load", "9000"));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId); });
+  w.until([&] { return std::chrono::steady_clock::now() - start > std::chrono::milliseconds(1300); });
+  CHECK(client->read().empty());
+  w.engines[0]->peer(0)->write(ack(kId, "y\t\t\n"));
+  CHECK(w.answer(*client).field == 0);
+}
+
 // Guards against a program that SIGHUP ends, and against news that is missed because the directory has moved.
 TEST_CASE("at SIGHUP the directory is followed at its new address, and open requests go on") {
   World w(1);
