Wait for an address that is still held, and end in bounded time whatever clients do

A start onto an address that the process before it still listens on ended with exit 1 (bind: address already in use); a coordinator told to stop may need the time of its longest request to end. Now it is waited for, 30 s at most, as long as clients wait for a start; SIGTERM meanwhile ends the process with 0.

New suite: the real program as a process. Signals during the start; an address that is held; a kill and a restart at once with 200 clients waiting; bad configurations; a directory that is absent, silent or closes within an event; 1,024 coordinators named before 1,024 engines of 16 zones and 12 kinds under 64 tenants, six in ten replaced, a move by SIGHUP.

--- a/src/net/framed.cpp
+++ b/src/net/framed.cpp
@@ -163,13 +163,26 @@
 FramedServer::~FramedServer() = default;
 
 tcp::endpoint FramedServer::listen(const tcp::endpoint& at) {
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
-  acceptor_.listen();
+  error_code error;
+  const tcp::endpoint got = listen(at, error);
+  if (error) throw boost::system::system_error(error);
+  return got;
+}
+
+tcp::endpoint FramedServer::listen(const tcp::endpoint& at, error_code& error) {
+  error_code ignored;
+  acceptor_.open(at.protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(at, error);
+  if (!error) acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+  const tcp::endpoint got = error ? tcp::endpoint{} : acceptor_.local_endpoint(error);
+  if (error) {
+    acceptor_.close(ignored);
+    return {};
+  }
   accept();
   sweep();
-  return acceptor_.local_endpoint();
+  return got;
 }
 
 // One place is always kept free for who comes next. Where every connection has a request open, clients wait
--- a/src/net/framed.h
+++ b/src/net/framed.h
@@ -34,6 +34,8 @@
 
   // Throws boost::system::system_error where the address cannot be had.
   tcp::endpoint listen(const tcp::endpoint& at);
+  // The same where the caller can wait for it; after an error it may be called again.
+  tcp::endpoint listen(const tcp::endpoint& at, boost::system::error_code& error);
   // What `check` answers.
   void set_ready(bool ready) { ready_ = ready; }
   // From now on requests are refused at once: only what was taken before is still served.
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -12,6 +12,9 @@
 constexpr std::chrono::milliseconds kGrace{700};
 constexpr std::chrono::milliseconds kDrainLook{10};
 constexpr std::chrono::seconds kSettle{5};
+// Clients come once all coordinators are ready, or after 30 s.
+constexpr std::chrono::seconds kListenMost{30};
+constexpr std::chrono::milliseconds kListenPause{50};
 constexpr std::chrono::seconds kDrainMost{15};  // for devices to take what is on its way to them
 constexpr std::size_t kStorePart = 8;        // of the memory may be held for slow clients
 constexpr std::size_t kSpoolDescriptors = 16;  // listener, index, a segment being written and those being read
@@ -25,6 +28,7 @@
       strand_(io_.get_executor()),
       signals_(strand_),
       grace_(strand_),
+      last_(strand_),
       coordinator_(strand_, log_, config_.seed, config_.settings),
       engines_(strand_, coordinator_, log_, engine_limits()),
       front_(strand_, coordinator_, log_, config_.tables,
@@ -98,9 +102,29 @@
     const std::string address = edge_endpoint_.address().to_string() + ':' + std::to_string(edge_endpoint_.port());
     log_.event(Level::kInfo, "edge-listening", {{"address", address}, {"home", conf_.edge.logic.home}});
   }
-  endpoint_ = front_.listen(config_.listen);
-  front_.set_ready(true);
-  log_.line("serving as " + config_.name);
+  listen_until_ = std::chrono::steady_clock::now() + kListenMost;
+  open_front();
+}
+
+// The process before this one may hold the address still: it has its requests' time to end. Nobody comes to this one
+// before it answers.
+void Server::open_front() {
+  if (stopping_) return;
+  boost::system::error_code error;
+  const tcp::endpoint at = front_.listen(config_.listen, error);
+  if (!error) {
+    endpoint_ = at;
+    front_.set_ready(true);
+    return log_.line("serving as " + config_.name);
+  }
+  const std::string address = config_.listen.address().to_string() + ':' + std::to_string(config_.listen.port());
+  if (error != boost::asio::error::address_in_use || std::chrono::steady_clock::now() >= listen_until_)
+    throw std::runtime_error("cannot listen at " + address + ": " + error.message());
+  if (!std::exchange(told_held_, true)) log_.line("the address " + address + " is held by another process, waiting");
+  grace_.expires_after(kListenPause);
+  grace_.async_wait([this](boost::system::error_code e) {
+    if (!e) open_front();
+  });
 }
 
 void Server::await_signal() {
@@ -182,6 +206,12 @@
   front_.set_ready(false);
   if (readers_) readers_->set_ready(false);
   if (edge_) edge_->drain();
+  // By then every request has its answer, and every client had its time to read it. Results that readers have not
+  // fetched yet have bounds of their own.
+  last_.expires_after(kGrace + reference_time());
+  last_.async_wait([this](boost::system::error_code error) {
+    if (!error && !spool_) end();
+  });
   grace_.expires_after(kGrace);
   grace_.async_wait([this](boost::system::error_code error) {
     if (error) return;
@@ -217,14 +247,18 @@
   // Devices that are there hear their answers; those on dead links have the ledger, and the next process.
   const bool edged = !edge_ || (edge_->settled() && edge_fronts_->written_out()) ||
                      std::chrono::steady_clock::now() > drain_until_;
-  if (front_.written_out() && spooled && edged) {
-    log_.line("ended, " + std::to_string(log_.broken_count()) + " invariants broken");
-    return io_.stop();
-  }
+  if (front_.written_out() && spooled && edged) return end();
   grace_.expires_after(kDrainLook);
   grace_.async_wait([this](boost::system::error_code error) {
     if (!error) leave();
   });
 }
 
+void Server::end() {
+  if (coordinator_.unanswered() > 0)
+    log_.line("requests that never got their answer: " + std::to_string(coordinator_.unanswered()));
+  log_.line("ended, " + std::to_string(log_.broken_count()) + " invariants broken");
+  io_.stop();
+}
+
 }  // namespace steprail
--- a/src/server.h
+++ b/src/server.h
@@ -49,6 +49,8 @@
   Micros reference_time() const;
   void leave();
   void await_signal();
+  void open_front();
+  void end();
   void start_parts(spool::Substitutes substitutes, std::unique_ptr<spool::Index> ledger);
   FramedServer::Limits reader_limits() const;
   edge::Fronts::Limits edge_limits() const;
@@ -61,7 +63,7 @@
   boost::asio::io_context io_{1};
   Strand strand_;
   boost::asio::signal_set signals_;
-  boost::asio::steady_timer grace_;
+  boost::asio::steady_timer grace_, last_;
   Coordinator coordinator_;
   EnginePool engines_;
   ThriftFront front_;
@@ -75,8 +77,8 @@
   std::unique_ptr<edge::Fronts> edge_fronts_;
   std::unique_ptr<Worker> errands_;  // the metrics file is written off the loop
   tcp::endpoint endpoint_, reader_endpoint_, edge_endpoint_;
-  std::chrono::steady_clock::time_point drain_until_{};
-  bool stopping_{false};
+  std::chrono::steady_clock::time_point drain_until_{}, listen_until_{};
+  bool stopping_{false}, told_held_{false};
 };
 
 }  // namespace steprail
--- a/tests/net_world.h
+++ b/tests/net_world.h
@@ -131,6 +131,7 @@
   ConfigFile& operator=(const ConfigFile&) = delete;
   void write(const std::string& text) const { std::ofstream(path_) << text; }
   Config read() const { return read_config(path_); }
+  const std::string& path() const { return path_; }
 
  private:
   std::string path_{"/tmp/steprail-config-XXXXXX"};
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -32,8 +32,7 @@
     pid_ = ::fork();
     if (pid_ == 0) {
       ::dup2(ends[1], 2);
-      ::close(ends[0]);
-      ::close(ends[1]);
+      ::close_range(3, ~0u, 0);  // the listeners of this process are not its child's
       ::execl(STEPRAIL, STEPRAIL, "serve", "--config", config.c_str(), nullptr);
       ::_exit(127);
     }
@@ -62,6 +61,7 @@
     ::waitpid(std::exchange(pid_, 0), &status, 0);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
+  pid_t pid() const { return pid_; }
   std::string log;
 
  private:
@@ -100,6 +100,19 @@
   return from;
 }
 
+// A client's connection, as soon as the program listens.
+std::unique_ptr<Peer> connect(asio::io_context& io, const tcp::endpoint& to) {
+  const auto end = Clock::now() + kGiveUp;
+  for (;;) {
+    tcp::socket socket(io);
+    error_code error;
+    socket.connect(to, error);
+    if (!error) return std::make_unique<Peer>(std::move(socket));
+    REQUIRE(Clock::now() < end);
+    ::usleep(1000);
+  }
+}
+
 void until(const std::function<bool()>& happened) {
   const auto end = Clock::now() + kGiveUp;
   while (!happened()) {
@@ -139,3 +152,261 @@
   process.signal(SIGTERM);
   CHECK(process.wait() == 0);
 }
+
+// Guards against a start that fails because the process before it still answers what it has taken.
+TEST_CASE("process: an address that another process still holds is waited for") {
+  asio::io_context io;
+  const auto listen = free_endpoint();
+  auto before = std::make_unique<tcp::acceptor>(io, listen);
+  ConfigFile file(process_config(listen, "127.0.0.1:9"));
+  Process process(file.path());
+  REQUIRE(process.says("is held by another process, waiting"));
+  before.reset();
+  const auto client = connect(io, listen);
+  client->write(kCheck);
+  until([&] { return client->read().size() > 4; });
+  process.signal(SIGTERM);
+  CHECK(process.wait() == 0);
+}
+
+// Guards against a process that waits for its address and hears no signal meanwhile.
+TEST_CASE("process: SIGTERM while the address is held by another process ends it with 0") {
+  asio::io_context io;
+  const tcp::acceptor before(io, free_endpoint());
+  ConfigFile file(process_config(before.local_endpoint(), "127.0.0.1:9"));
+  Process process(file.path());
+  REQUIRE(process.says("is held by another process, waiting"));
+  process.signal(SIGTERM);
+  CHECK(process.wait() == 0);
+}
+
+// Guards against clients that wait for a restart and find a start that fails, or a line too short for them.
+TEST_CASE("process: killed with connections open, it starts again at once under its address, clients waiting") {
+  asio::io_context io;
+  const auto listen = free_endpoint();
+  ConfigFile file(process_config(listen, "127.0.0.1:9"));
+  auto process = std::make_unique<Process>(file.path());
+  std::vector<std::unique_ptr<Peer>> clients;
+  for (int i = 0; i < 200; ++i) clients.push_back(connect(io, listen));
+  for (const auto& client : clients) client->write(kCheck);
+  for (const auto& client : clients) until([&] { return client->read().size() > 4; });
+  process->signal(SIGKILL);
+  CHECK(process->wait() == -SIGKILL);
+  process = std::make_unique<Process>(file.path());
+  clients.clear();
+  for (int i = 0; i < 200; ++i) clients.push_back(connect(io, listen)), clients.back()->write(kCheck);
+  for (const auto& client : clients) until([&] { return client->read().size() > 4; });
+  process->signal(SIGTERM);
+  CHECK(process->wait() == 0);
+}
+
+// Guards against a configuration that cannot be used and a process that serves all the same, or ends without a word.
+TEST_CASE("process: a bad configuration is one clear line and an exit that is not 0") {
+  ConfigFile file(process_config(free_endpoint(), "127.0.0.1:9"));
+  const std::string whole = process_config(free_endpoint(), "127.0.0.1:9").dump();
+  json wrong = process_config(free_endpoint(), "127.0.0.1:9");
+  wrong["settings"]["profiles"] = 7;
+  for (const std::string& text : {std::string(), whole.substr(0, whole.size() / 2), wrong.dump()}) {
+    file.write(text);
+    Process process(file.path());
+    CHECK(process.wait() == 1);
+    CHECK(std::count(process.log.begin(), process.log.end(), '\n') == 1);
+    CHECK(process.log.find("cannot be used") != std::string::npos);
+  }
+  Process process("/nowhere/config.json");
+  CHECK(process.wait() == 1);
+  CHECK(process.log == "steprail: configuration /nowhere/config.json cannot be opened\n");
+}
+
+// Guards against a directory that keeps a process from starting, serving or ending.
+TEST_CASE("process: a directory that is absent, silent or closes within an event keeps nothing from its work") {
+  asio::io_context io;
+  for (const int kind : {0, 1, 2}) {
+    const auto listen = free_endpoint();
+    Listener directory(io), engine(io);
+    json from = process_config(listen, address(directory.acceptor));
+    from["known"]["updates"] = {event(1, {row(0, address(engine.acceptor))}, true)};
+    if (kind == 0) directory.acceptor.close();
+    ConfigFile file(from);
+    Process process(file.path());
+    const auto client = connect(io, listen);
+    if (kind == 2) {
+      until([&] { return directory.has(0, "follow 1\n"); });
+      directory.peer(0)->write("{\"index\":2,\"endp");
+      directory.peer(0)->close();
+    }
+    client->write(query(1, kId));
+    until([&] { return engine.has(0, "serve " + kId); });
+    engine.peer(0)->write(ack(kId, "x\t\t\n"));
+    until([&] { return client->read().size() > 4; });
+    if (kind == 2) until([&] { return directory.has(1, "follow 1\n"); });
+    process.signal(SIGTERM);
+    CHECK(process.wait() == 0);
+  }
+}
+
+namespace {
+
+// Engines by the thousand behind one listener: every address of the loopback range leads to it.
+class ManyEngines {
+ public:
+  explicit ManyEngines(asio::io_context& io) : acceptor_(io, {asio::ip::address_v4::any(), 0}) {
+    acceptor_.non_blocking(true);
+  }
+  std::string at(int number) const {
+    const asio::ip::address_v4 host((127u << 24) | (80u << 16) | static_cast<std::uint32_t>(number + 1));
+    return text_of({host, acceptor_.local_endpoint().port()});
+  }
+  // Answers all that has come.
+  void poll() {
+    for (;;) {
+      error_code error;
+      tcp::socket socket(acceptor_.get_executor());
+      acceptor_.accept(socket, error);
+      if (error) break;
+      peers_.push_back(std::make_unique<Peer>(std::move(socket)));
+      ++connections;
+    }
+    for (const auto& peer : peers_) answer(*peer);
+    std::erase_if(peers_, [](const auto& peer) { return peer->ended(); });
+  }
+  std::size_t served{}, connections{};
+
+ private:
+  void answer(Peer& peer) {
+    for (peer.read();;) {
+      const std::size_t end = peer.in.find("\r\n");
+      if (end == std::string::npos) return;
+      const std::string line = peer.in.substr(0, end);
+      const std::string id = line.substr(line.find(' ') + 1, line.find(' ', line.find(' ') + 1) - line.find(' ') - 1);
+      std::size_t whole = end + 2;
+      if (line.starts_with("serve ")) {
+        whole += std::stoul(line.substr(line.rfind(' ') + 1)) + 2;
+        if (peer.in.size() < whole) return;
+        peer.write(ack(id, "x\t\t\n"));
+        ++served;
+      } else if (line.starts_with("gauges ")) {
+        peer.write(id + " READY rep=load_share:0.2 0\r\n\r\n");
+      }
+      peer.in.erase(0, whole);
+    }
+  }
+  tcp::acceptor acceptor_;
+  std::vector<std::unique_ptr<Peer>> peers_;
+};
+
+constexpr int kMany = 1024;
+constexpr std::size_t kMemoryMb = 56, kSockets = 512;
+
+json many_rows(const ManyEngines& engines, int from) {
+  json rows = json::array();
+  for (int i = 0; i < kMany; ++i) {
+    json one = row(from + i, engines.at(i));
+    one["zone"] = "zone" + std::to_string(i % 16);
+    one["type"] = "kind" + std::to_string(i % 12);
+    rows.push_back(one);
+  }
+  return rows;
+}
+
+json many_config(const tcp::endpoint& listen, const std::string& directory, const json& rows) {
+  json from = process_config(listen, directory);
+  from["known"]["updates"] = {event(1, rows, true)};
+  from["limits"] = {{"cores", 1.0}, {"memory_mb", kMemoryMb}, {"sockets", kSockets}};
+  json& settings = from["settings"];
+  settings["balancers"] = kMany, settings["rank"] = kMany - 1;
+  settings["localities"] = settings["host_types"] = json::array();
+  for (int i = 0; i < 16; ++i) settings["localities"].push_back("zone" + std::to_string(i));
+  for (int i = 0; i < 12; ++i) settings["host_types"].push_back("kind" + std::to_string(i));
+  settings["locality"] = "zone3";
+  settings["family_info"] = {{"cores_by_kind", std::vector<int>(12, 8)}, {"threads_by_class", {1, 2}},
+                             {"class_load", {false, true}}, {"yields_to_loads", {true, false}},
+                             {"progress_us", 500000}};
+  for (int i = 0; i < 64; ++i)
+    settings["customers"].push_back({{"name", i == 0 ? "acme" : "team" + std::to_string(i)}, {"share", 1.0 / 64}});
+  return from;
+}
+
+long figure(pid_t pid, const std::string& name) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with(name + ':')) return std::stol(line.substr(name.size() + 1));
+  return -1;
+}
+
+}  // namespace
+
+// Guards against a cap on engines or coordinators, and against memory, descriptors or time that follow their product.
+TEST_CASE("process: a thousand coordinators before a thousand engines, six in ten replaced, a move and the end") {
+  asio::io_context io;
+  Listener first(io), second(io);
+  ManyEngines engines(io);
+  const auto listen = free_endpoint();
+  json from = many_config(listen, address(first.acceptor), many_rows(engines, 0));
+  ConfigFile file(from);
+  Process process(file.path());
+  const auto client = connect(io, listen);
+  int call = 0, answered = 0, good = 0;
+  const auto take = [&] {
+    engines.poll();
+    for (client->read(); client->in.size() >= 4;) {
+      const auto length = static_cast<std::size_t>(thrift::frame_length(client->in));
+      if (client->in.size() < 4 + length) break;
+      const std::string bytes = client->in.substr(4, length);
+      client->in.erase(0, 4 + length);
+      thrift::Reader reader(bytes);
+      thrift::Message message;
+      REQUIRE(thrift::read_head(reader, message));
+      ++answered, reader.u8(), good += reader.i16() == 0;
+    }
+  };
+  const auto ask = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      char id[17];
+      std::snprintf(id, sizeof id, "%016x", ++call);
+      client->write(query(call, id, call % 16 == 0 ? "load" : "lookup"));
+      until([&] { return take(), answered + 16 > call; });
+    }
+    until([&] { return take(), answered == call; });
+  };
+  // A directory that has been silent for long is asked on a new connection.
+  const auto tell = [&](Listener& directory, const std::string& follow, const std::string& text) {
+    until([&] {
+      take(), directory.poll();
+      for (const auto& peer : directory.peers) {
+        if (!peer->has(follow) || peer->ended()) continue;
+        peer->write(text);
+        return true;
+      }
+      return false;
+    });
+  };
+  ask(600);
+  CHECK(good >= call * 9 / 10);
+  tell(first, "follow 1\n", event(2, many_rows(engines, 0), true).dump() + "\n2\n");
+  ask(200);
+  // New ones under the addresses of those that go.
+  json change = json::array();
+  for (int i = 0; i < kMany; ++i) {
+    if (i % 10 >= 6) continue;
+    json gone = many_rows(engines, 0)[0];
+    gone["name"] = "engine" + std::to_string(i), gone["status"] = "left", gone["address"] = engines.at(i);
+    json fresh = gone;
+    fresh["name"] = "engine" + std::to_string(kMany + i), fresh["status"] = "active";
+    change.push_back(gone), change.push_back(fresh);
+  }
+  tell(first, "follow 2\n", event(3, change, false).dump() + "\n3\n");
+  ask(600);
+  CHECK(good >= call * 9 / 10);
+  from["coordinator"] = address(second.acceptor);
+  file.write(from.dump());
+  process.signal(SIGHUP);
+  tell(second, "follow 3\n", "3\n");
+  ask(20);
+#ifdef NDEBUG
+  CHECK(figure(process.pid(), "VmHWM") < static_cast<long>(kMemoryMb << 10) / 2);
+#endif
+  process.signal(SIGTERM);
+  CHECK(process.wait() == 0);
+  CHECK(process.log.find(", 0 invariants broken") != std::string::npos);
+}
