Make room among idle connections where engines are more than connections

Seen in the new test, 40 engines under a limit of 64 descriptors (23 connections): the 24th engine that was drawn got no connection, its attempt ended as refused connect, `engine 20 shunned, suspicion 0.500000`, and the request was refused. EnginePool::room_for kept the one idle connection of every other engine. Now the one idle for longest goes, if no other is spare.

--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -513,22 +513,25 @@
 }
 
 // A busy engine may take more than its part, as long as that leaves each of the others one. When all are
-// taken and the engine has none that can be used, the connection that has been idle for longest goes.
+// taken and the engine has none that can be used, the connection that has been idle for longest goes: where there are
+// more engines than connections, that may be another engine's only one.
 bool EnginePool::room_for(int index, bool needed) {
   const auto number = static_cast<std::size_t>(index);
   std::size_t owed = 0;
-  std::shared_ptr<Line> oldest;
+  std::shared_ptr<Line> oldest, only;
   for (std::size_t i = 0; i < engines_.size(); ++i) {
     const Engine& engine = engines_[i];
     if (i != number && engine.standing == Standing::kReady && engine.lines.empty()) ++owed;
     for (const auto& line : engine.lines) {
-      const bool spare =
-          line->idle() && (i == number || engine.lines.size() > 1 || engine.standing != Standing::kReady);
-      if (spare && (!oldest || line->used() < oldest->used())) oldest = line;
+      if (!line->idle()) continue;
+      const bool spare = i == number || engine.lines.size() > 1 || engine.standing != Standing::kReady;
+      std::shared_ptr<Line>& least = spare ? oldest : only;
+      if (!least || line->used() < least->used()) least = line;
     }
   }
   if (engines_[number].lines.empty()) owed = 0;
   if (connections_ + owed < limits_.connections) return true;
+  if (!oldest) oldest = only;
   if (!needed || !oldest) return false;
   oldest->close({});
   return true;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,5 +1,6 @@
 // Stories of the real coordinator over loopback sockets, against scripted clients, engines and a directory.
 #include <csignal>
+#include <set>
 
 #include "net/engine_line.h"
 #include "net/statement.h"
@@ -427,6 +428,35 @@
   w.until([&] { return w.server->io().stopped(); });
 }
 
+// Guards against engines that are held for unreachable because idle connections to others take all the places.
+TEST_CASE("more engines than connections: what lies idle makes room") {
+  World w(40, [](json& from) {
+    from["limits"]["sockets"] = 64;
+    from["settings"]["limits"]["most_tries"] = 1;
+  });
+  const auto client = w.client();
+  std::set<std::size_t> used;
+  for (int call = 0; call < 200; ++call) {
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", call + 1);
+    client->write(query(call, id));
+    w.until([&] {
+      for (std::size_t i = 0; i < w.engines.size(); ++i) {
+        w.engines[i]->poll();
+        for (const auto& peer : w.engines[i]->peers) {
+          if (!peer->has("serve " + std::string(id))) continue;
+          peer->in.clear();
+          peer->write(ack(id, "x\t\t\n"));
+          used.insert(i);
+        }
+      }
+      return !client->read().empty();
+    });
+    REQUIRE(w.answer(*client).field == 0);
+  }
+  CHECK(used.size() > 30);
+}
+
 // Guards against the time-outs of a request that has long been answered, for a new one under its id.
 TEST_CASE("an id that comes again after its answer has its own time") {
   World w(1);
