Let an engine that a whole list leaves out finish what it has

Seen in the new test: a load out on an engine that the next whole list does not name was answered failed, with the log line `engine engine0 has no usable address: `. Directory::apply told the sockets of an engine without an address, which EnginePool::list took for a move, and closed the connection under the attempt ("the engine has started anew"). Now the engine is told as gone under the address it had: nothing new goes there, and what is out may end.

--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -230,7 +230,9 @@
               std::to_string(left_out - kLeftOutLines));
   // What a whole list does not hold is gone.
   for (const auto& [name, engine] : tables_.engines.known()) {
-    if (whole && !named.contains(engine)) changes.push_back({engine, name, {}, Standing::kGone, {}});
+    if (!whole || named.contains(engine)) continue;
+    const EngineChange& was = rows_[engine].change;
+    changes.push_back({engine, name, was.address, Standing::kGone, was.came_up});
   }
   for (const EngineChange& change : changes) {
     if (change.standing == Standing::kGone) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,4 +1,6 @@
 // Stories of the real coordinator over loopback sockets, against scripted clients, engines and a directory.
+#include <rapidcheck/catch.h>
+
 #include <csignal>
 #include <set>
 
@@ -428,6 +430,25 @@
   w.until([&] { return w.server->io().stopped(); });
 }
 
+// Guards against attempts that are cut off because a whole list names their engine no more: it may finish them.
+TEST_CASE("an engine that a whole list leaves out finishes what it has") {
+  World w(2);
+  const auto client = w.client();
+  client->write(query(1, kId, "load"));
+  std::size_t at = 0;
+  w.until([&] {
+    for (at = 0; at < 2; ++at)
+      if (w.engines[at]->has(0, "serve " + kId)) return true;
+    return false;
+  });
+  w.until([&] { return w.directory.has(0, "follow 1\n"); });
+  const int other = at == 0 ? 1 : 0;
+  w.directory.peer(0)->write(event(2, {row(other, address(w.engines[1 - at]->acceptor))}, true).dump() + "\n2\n");
+  w.until([&] { return w.server->listed() == 2; });
+  w.engines[at]->peer(0)->write(ack(kId, "x\t\t\n"));
+  CHECK(w.answer(*client).field == 0);
+}
+
 // Guards against engines that are held for unreachable because idle connections to others take all the places.
 TEST_CASE("more engines than connections: what lies idle makes room") {
   World w(40, [](json& from) {
@@ -560,3 +581,121 @@
     }
   }
 }
+
+namespace {
+
+using rc::gen::inRange;
+
+// Any field that the settings need not hold is there, null or absent.
+void optional(json& object, const char* field, const json& value) {
+  const int kind = *inRange(0, 4);
+  if (kind == 0) object.erase(field);
+  if (kind == 1) object[field] = nullptr;
+  if (kind > 1) object[field] = value;
+}
+
+json names(const char* stem, int count) {
+  json list = json::array();
+  for (int i = 0; i < count; ++i) list.push_back(stem + std::to_string(i));
+  return list;
+}
+
+json any_rows(int count, int zones, int kinds) {
+  const std::vector<json> states = {"active", "active", "active", "leaving", "left", "asleep", nullptr};
+  json rows = json::array();
+  for (int i = 0; i < count; ++i) {
+    json one = row(*inRange(0, 2 * count), "127.0.0.1:" + std::to_string(*inRange(1, 20)));
+    one["zone"] = "zone" + std::to_string(*inRange(0, zones + 1));
+    one["type"] = "kind" + std::to_string(*inRange(0, kinds + 1));
+    one["status"] = *rc::gen::elementOf(states);
+    optional(one, "group", *inRange(-5, 5));
+    optional(one, "weight", *inRange(0, 100) / 10.0);
+    optional(one, "since_ms", *rc::gen::elementOf(std::vector<json>{0, 1796164215140, 1.79616421514e12, -1, "x"}));
+    if (*inRange(0, 20) == 0) one.erase(*rc::gen::elementOf(std::vector<std::string>{"name", "address", "zone"}));
+    rows.push_back(one);
+  }
+  return rows;
+}
+
+json any_config(const std::string& directory, int zones, int kinds, json rows) {
+  json from = config(directory, std::move(rows));
+  from["limits"] = {{"cores", *inRange(1, 40) / 10.0}, {"memory_mb", *inRange(8, 192)}, {"sockets", *inRange(8, 1024)}};
+  json& s = from["settings"];
+  s["balancers"] = *inRange(1, 2000), s["rank"] = *inRange(0, 2000);
+  s["localities"] = names("zone", zones), s["locality"] = "zone" + std::to_string(*inRange(0, zones));
+  s["host_types"] = names("kind", kinds);
+  const std::vector<std::string> effects = {"repeatable", "by_key", "once"}, scopes = {"all", "zone", "cell"};
+  for (json& cls : s["profiles"]) {
+    cls["effect"] = *rc::gen::elementOf(effects);
+    optional(cls, "aim_stretch", *inRange(0, 30) / 10.0);
+    optional(cls, "late_share", *inRange(0, 11) / 10.0);
+    optional(cls, "worth", *inRange(0, 20));
+    optional(cls, "dedup_scope", *rc::gen::elementOf(scopes));
+    optional(cls, "dedup_window_us", *inRange(0, 5'000'000));
+    optional(cls, "confined_to", names("zone", *inRange(0, zones + 1)));
+    optional(cls, "host_types_only", names("kind", *inRange(0, kinds + 1)));
+  }
+  json facts = json::object();
+  optional(facts, "cores_by_kind", std::vector<int>(static_cast<std::size_t>(*inRange(0, kinds + 2)), *inRange(1, 64)));
+  optional(facts, "ram_of_kind_mb", std::vector<double>(static_cast<std::size_t>(*inRange(0, kinds + 2)), 32768.0));
+  optional(facts, "threads_by_class", std::vector<int>(static_cast<std::size_t>(*inRange(0, 4)), *inRange(1, 4)));
+  optional(facts, "class_load", std::vector<bool>{false, *inRange(0, 2) == 1});
+  optional(facts, "yields_to_loads", std::vector<bool>{*inRange(0, 2) == 1});
+  optional(facts, "progress_us", *inRange(0, 500000));
+  optional(facts, "largest_share", *inRange(0, 11) / 10.0);
+  optional(s, "family_info", facts);
+  json tenants = json::array();
+  for (int i = *inRange(0, 64); i > 0; --i)
+    tenants.push_back({{"name", i == 1 ? "acme" : "team" + std::to_string(i)}, {"quota_rps", *inRange(0, 100)}, {"share", 0.1}});
+  optional(s, "customers", tenants);
+  optional(s, "reporting", {{"how", *rc::gen::elementOf(std::vector<std::string>{"piggyback", "pull", "silent"})}});
+  optional(s, "over_share_worth", *inRange(0, 11) / 10.0);
+  optional(s, "costs", {{"probe", 0.01}, {"cross_zone", nullptr}});
+  for (const char* field : {"may_cancel", "may_probe", "retry_after"}) optional(s["limits"], field, *inRange(0, 2) == 1);
+  optional(s["limits"], "most_tries", *inRange(1, 8));
+  optional(s["limits"], "multiplex", *inRange(0, 100));
+  optional(s["limits"], "conn_idle_us", *inRange(0, 15'000'000));
+  optional(s["limits"], "connect_timeout_us", *inRange(0, 250'000));
+  optional(s["limits"], "max_retry_after_us", 1e6);
+  optional(s["rules"], "cold_from", *inRange(0, 11) / 10.0);
+  optional(s["rules"], "cold_us", 15'000'000);
+  optional(s["rules"], "overload_factor", 4.0);
+  optional(s["rules"], "fall_us", 1.5e6);
+  optional(s["rules"], "extra_ratio", *inRange(0, 10) / 10.0);
+  optional(s["rules"], "free_resends", *inRange(0, 5));
+  optional(s["rules"], "look_back_us", 1'000'000);
+  return from;
+}
+
+}  // namespace
+
+// Guards against a start, a turn or an event that a deployment of another shape ends with an exception.
+TEST_CASE("settings and lists of any shape: it starts, answers, takes news and breaks no invariant") {
+  rc::prop("settings and lists", [] {
+    asio::io_context io;
+    Listener directory(io);
+    const int zones = *inRange(1, 16), kinds = *inRange(1, 12);
+    const ConfigFile file(any_config(address(directory.acceptor), zones, kinds, any_rows(*inRange(0, 60), zones, kinds)));
+    Server server(file.read());
+    server.start();
+    tcp::socket socket(io);
+    socket.connect(server.endpoint());
+    Peer client(std::move(socket));
+    for (int call = 0; call < 6; ++call)
+      client.write(query(call, "00000000000000f" + std::to_string(call), call % 2 == 0 ? "lookup" : "load", "900"));
+    const auto end = std::chrono::steady_clock::now() + kGiveUp;
+    const auto until = [&](const std::function<bool()>& happened) {
+      while (!happened() && std::chrono::steady_clock::now() < end) server.io().run_for(std::chrono::milliseconds(1));
+      RC_ASSERT(happened());
+    };
+    const std::string follow = "follow 1\n";
+    until([&] { return directory.has(0, follow); });
+    directory.peer(0)->write(event(2, any_rows(*inRange(0, 60), zones, kinds), *inRange(0, 2) == 1).dump() + "\n2\n");
+    until([&] { return server.listed() == 2; });
+    directory.peer(0)->write(event(3, any_rows(*inRange(0, 5), zones, kinds), true).dump() + "\n3\n");
+    until([&] { return server.listed() == 3; });
+    // Every request is answered within its time.
+    until([&] { return client.read(), std::count(client.in.begin(), client.in.end(), '\x80') >= 6; });
+    RC_ASSERT(server.broken_invariants() == 0u);
+  });
+}
