Answer what cannot end before the kill that follows SIGTERM, and end by oneself

One of the others, n60: `stopping, 18 requests open` at 11.90 s, no `ended`, the next process at 16.26: Server::stop waited for the longest requests (up to 25 s) while the platform kills 3 s after the grace, so that what they had taken was never answered. Ruled out: answers stuck in front_.written_out (none waited), requests the table had lost (all have their time-outs), signals not heard (every process said `stopping`).

Now what is open 0.2 s before that is answered: refused where coming again does no harm, else failed.

--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -129,6 +129,18 @@
   when_empty_ = std::move(then);
 }
 
+void Coordinator::answer_all() {
+  now_ = clock_.now();
+  for (auto& [id, open] : open_) {
+    if (open.answered) continue;
+    const ClassSettings& cls = settings_.classes[static_cast<std::size_t>(open.query.cls)];
+    const bool harmless = open.attempts == 0 || cls.effect == Effect::kRepeatable;
+    // To the module it is as if its client had gone: what is out is called off.
+    gather(ClientGone{id});
+    finish(open, {harmless ? Verdict::kRefused : Verdict::kFailed, {}, {}});
+  }
+}
+
 // An attempt's one end, on its way to the module.
 void Coordinator::close(Open& open, Outcome outcome, LoadReport report) {
   open.out = Out::kClosing;
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -46,6 +46,8 @@
   // Calls back once, in the turn in which the last open request has got its answer; at once if none is open.
   void when_empty(std::function<void()> then);
   std::size_t unanswered() const { return unanswered_; }
+  // Gives up whatever is open: refused where coming again does no harm, failed otherwise.
+  void answer_all();
   Micros now() { return clock_.now(); }
 
  private:
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -10,6 +10,9 @@
 namespace {
 // After SIGTERM new connections come for 0.4 s at most, and requests on open ones for 0.2 s more.
 constexpr std::chrono::milliseconds kGrace{700};
+// SIGKILL comes no earlier than the longest request's time, or 3 s where that is longer, after the grace. Shortly before,
+// what is still open is answered: a process that is killed answers nobody.
+constexpr std::chrono::milliseconds kKilledAfter{3000}, kLastAnswers{200};
 constexpr std::chrono::milliseconds kDrainLook{10};
 constexpr std::chrono::seconds kSettle{5};
 // Clients come once all coordinators are ready, or after 30 s.
@@ -28,6 +31,7 @@
       strand_(io_.get_executor()),
       signals_(strand_),
       grace_(strand_),
+      last_call_(strand_),
       last_(strand_),
       coordinator_(strand_, log_, config_.seed, config_.settings),
       engines_(strand_, coordinator_, log_, engine_limits()),
@@ -178,10 +182,12 @@
 std::size_t Server::client_limit() const { return std::max<std::size_t>(1, config_.sockets * 2 / 5); }
 
 // Until every request that may have had an attempt on an engine has ended, and the module's next look around.
-Micros Server::reference_time() const {
+Micros Server::reference_time() const { return longest_request() + config_.settings.answer_slack + Micros{kSettle}; }
+
+Micros Server::longest_request() const {
   Micros longest{0};
   for (const ClassSettings& cls : config_.settings.classes) longest = std::max(longest, cls.hard_limit);
-  return longest + config_.settings.answer_slack + Micros{kSettle};
+  return longest;
 }
 
 EnginePool::Limits Server::engine_limits() const {
@@ -206,6 +212,15 @@
   front_.set_ready(false);
   if (readers_) readers_->set_ready(false);
   if (edge_) edge_->drain();
+  // Results that are kept for readers end by their own bounds, and this process is given the time.
+  if (!spool_) {
+    last_call_.expires_after(kGrace + std::min<Micros>(longest_request(), kKilledAfter) - kLastAnswers);
+    last_call_.async_wait([this](boost::system::error_code error) {
+      if (error || coordinator_.unanswered() == 0) return;
+      log_.line("answering " + std::to_string(coordinator_.unanswered()) + " requests that cannot end any more");
+      coordinator_.answer_all();
+    });
+  }
   // By then every request has its answer, and every client had its time to read it. Results that readers have not
   // fetched yet have bounds of their own.
   last_.expires_after(kGrace + reference_time());
--- a/src/server.h
+++ b/src/server.h
@@ -47,6 +47,7 @@
   std::size_t client_limit() const;
   EnginePool::Limits engine_limits() const;
   Micros reference_time() const;
+  Micros longest_request() const;
   void leave();
   void await_signal();
   void open_front();
@@ -63,7 +64,7 @@
   boost::asio::io_context io_{1};
   Strand strand_;
   boost::asio::signal_set signals_;
-  boost::asio::steady_timer grace_, last_;
+  boost::asio::steady_timer grace_, last_call_, last_;
   Coordinator coordinator_;
   EnginePool engines_;
   ThriftFront front_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -478,6 +478,34 @@
   CHECK(used.size() > 30);
 }
 
+// Guards against a process that is killed with requests that it took and never answered.
+TEST_CASE("what cannot end before the kill that follows SIGTERM is answered, and the process ends") {
+  World w(2);
+  const auto client = w.client();
+  const std::string load = "00000000000000a2";
+  client->write(query(1, kId) + query(2, load, "load"));
+  const auto out = [&](const std::string& text) {
+    return std::any_of(w.engines.begin(), w.engines.end(), [&](const auto& engine) {
+      engine->poll();
+      return std::any_of(engine->peers.begin(), engine->peers.end(), [&](const auto& peer) { return peer->has(text); });
+    });
+  };
+  w.until([&] { return out("serve " + kId) && out("serve " + load); });
+  const auto start = std::chrono::steady_clock::now();
+  w.server->stop();
+  std::map<int, int> fields;
+  for (int i = 0; i < 2; ++i) {
+    const Told told = w.answer(*client);
+    fields[told.call] = told.field;
+  }
+  CHECK(fields[1] == 1);  // may come again
+  CHECK(fields[2] == 2);  // a load may have run
+  w.until([&] { return w.server->io().stopped(); });
+  const auto took = std::chrono::steady_clock::now() - start;
+  CHECK(took > std::chrono::milliseconds(3000));
+  CHECK(took < std::chrono::milliseconds(3700));
+}
+
 // Guards against the time-outs of a request that has long been answered, for a new one under its id.
 TEST_CASE("an id that comes again after its answer has its own time") {
   World w(1);
