Log each attempt's connection, what ended it, unmatched answers, and why a request was refused

Now: queued (connection), closed (cause), passed_over, connection_closed, client_gone, answered (reason). The module says why it refuses or fails a request in AnswerReason; no decision changes.

--- a/include/steprail/gateway.h
+++ b/include/steprail/gateway.h
@@ -235,14 +235,27 @@
   RequestId id{};
   int attempt{};
 };
+// Why the gateway gives a final answer without a result.
+enum class AnswerReason {
+  kRouteFull,     // its route has no place for it
+  kLoadsFull,     // the loads of its group have used up the engines' time
+  kNoEngine,      // no engine may take it, or has room for it
+  kTriesUsedUp,   // by the settings, its route, or a ration
+  kDeadlineNear,  // its turn did not come in time
+  kDeadlinePassed,
+  kHopeless,  // its attempt cannot end in time
+  kNotSent    // the caller could not send it
+};
 // Final answer: refused, a retry does no harm.
 struct Refuse {
   RequestId id{};
   Micros wait{0};
+  AnswerReason reason{AnswerReason::kNoEngine};
 };
 // Final answer: failed, with no promise about its effect.
 struct Fail {
   RequestId id{};
+  AnswerReason reason{AnswerReason::kNoEngine};
 };
 struct Probe {
   int engine{};
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -420,7 +420,7 @@
     if (r.finished || r.out() || now_ < r.held_until) return;
     if (!has_turn(id, r)) {
       // Held for its turn, unless it would be lost before the next look at what is held.
-      if (ending(r)) finish(id, r);
+      if (ending(r)) finish(id, r, AnswerReason::kDeadlineNear);
       return;
     }
     const bool again = !r.attempts.empty();
@@ -443,7 +443,7 @@
     // A query that was admitted once is not thrown away for the place that its lost attempt has freed.
     for (int i : order)
       if (again && send(id, r, i)) return;
-    finish(id, r);
+    finish(id, r, again && !may_try_again(r) ? AnswerReason::kTriesUsedUp : AnswerReason::kNoEngine);
   }
 
   // ---- 4. Health ----
@@ -587,7 +587,8 @@
   void pause(RequestId id, Request& r) {
     const double span = ms(r.route->pause) * (1 + r.route->jitter * (2 * uniform() - 1));
     r.held_until = now_ + from_ms(span);
-    if (r.held_until + from_ms(expected(r)) >= r.deadline || !may_try_again(r)) return finish(id, r);
+    if (r.held_until + from_ms(expected(r)) >= r.deadline) return finish(id, r, AnswerReason::kDeadlineNear);
+    if (!may_try_again(r)) return finish(id, r, AnswerReason::kTriesUsedUp);
     pauses_.emplace(r.held_until, id);
     act(Timer{r.held_until, kPauseLabel});
   }
@@ -651,16 +652,16 @@
   }
 
   // The one place from which a final answer is given: refused while that is a true promise, failed otherwise.
-  void finish(RequestId id, Request& r) {
+  void finish(RequestId id, Request& r, AnswerReason reason) {
     if (r.finished) return;
     const ClassSettings& c = of(r);
     const bool risky = r.risky_engine >= 0 || r.out();
     const bool harmless = !risky || c.effect == Effect::kRepeatable ||
                           (c.effect == Effect::kByKey && c.dedup_scope == Scope::kAll);
     if (harmless && now_ < r.deadline) {
-      act(Refuse{id, s_.retry_after ? std::min(kPeriod, s_.max_retry_after) : Micros{0}});
+      act(Refuse{id, s_.retry_after ? std::min(kPeriod, s_.max_retry_after) : Micros{0}, reason});
     } else {
-      act(Fail{id});
+      act(Fail{id, reason});
     }
     r.finished = true;
     settle(id);
@@ -797,7 +798,8 @@
     trials_ = std::min(kTrialBurst, trials_ + kTrialShare);
     if (s_.extra_ratio) taken_.push_back(now_);
     if (r.key && of(r).keep_order) lines_[*r.key].line.push_back(a.id);
-    if (a.no_place || (of(r).load && !has_room(r))) return finish(a.id, r);
+    if (a.no_place) return finish(a.id, r, AnswerReason::kRouteFull);
+    if (of(r).load && !has_room(r)) return finish(a.id, r, AnswerReason::kLoadsFull);
     dispatch(a.id, r);
   }
 
@@ -853,7 +855,7 @@
       // It cannot end in time, and holds up what can.
       a.cancelled = true;
       act(Cancel{n.id, n.attempt});
-      finish(n.id, *r);
+      finish(n.id, *r, AnswerReason::kHopeless);
     }
   }
 
@@ -918,8 +920,10 @@
     if (c.ended) r.finished = true;
     if (r.finished) {
       settle(c.id);
-    } else if (c.outcome == Outcome::kUnused || now_ >= r.deadline) {
-      finish(c.id, r);
+    } else if (c.outcome == Outcome::kUnused) {
+      finish(c.id, r, AnswerReason::kNotSent);
+    } else if (now_ >= r.deadline) {
+      finish(c.id, r, AnswerReason::kDeadlinePassed);
     } else if (r.route && r.route->pause.count() > 0) {
       pause(c.id, r);
     } else {
@@ -959,7 +963,7 @@
       if (!r.finished && !r.out() && ending(r)) last.push_back(id);
     for (RequestId id : last) {
       const auto at = requests_.find(id);
-      if (at != requests_.end() && !at->second.out()) finish(id, at->second);
+      if (at != requests_.end() && !at->second.out()) finish(id, at->second, AnswerReason::kDeadlineNear);
     }
     std::vector<std::uint64_t> keys;
     for (const auto& [key, line] : lines_)
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -18,6 +18,11 @@
 constexpr std::string_view kOutcomes[] = {"delivered",   "app_error", "shed",    "expired",
                                           "dial_failed", "dropped",   "revoked", "unused"};
 constexpr std::string_view kVerdicts[] = {"served", "refused", "failed"};
+constexpr std::string_view kCauses[] = {"answered",      "engine_error", "engine_full",     "engine_stale",
+                                        "no_connection", "drained",      "connection_lost", "spoilt_answer",
+                                        "timed_out",     "called_off",   "not_sent"};
+constexpr std::string_view kReasons[] = {"route_full",    "loads_full",      "no_engine", "tries_used_up",
+                                         "deadline_near", "deadline_passed", "hopeless",  "not_sent"};
 constexpr Micros kLate{30'000}, kLateLines{200'000};  // what is logged, and how often
 }  // namespace
 
@@ -100,7 +105,7 @@
   Open& open = at->second;
   if (open.out != Out::kOut || end.attempt != open.attempts - 1) return;
   open.pages = std::move(end.pages);
-  close(open, end.outcome, end.report);
+  close(open, end.outcome, end.cause, end.report);
 }
 
 void Coordinator::noted(Note note) {
@@ -137,12 +142,12 @@
     const bool harmless = open.attempts == 0 || cls.effect == Effect::kRepeatable;
     // To the module it is as if its client had gone: what is out is called off.
     gather(ClientGone{id});
-    finish(open, {harmless ? Verdict::kRefused : Verdict::kFailed, {}, {}});
+    finish(open, {harmless ? Verdict::kRefused : Verdict::kFailed, {}, {}}, "stopping");
   }
 }
 
 // An attempt's one end, on its way to the module.
-void Coordinator::close(Open& open, Outcome outcome, LoadReport report) {
+void Coordinator::close(Open& open, Outcome outcome, EndCause cause, LoadReport report) {
   open.out = Out::kClosing;
   Closed closed;
   closed.id = open.query.id;
@@ -156,6 +161,7 @@
               {"attempt", closed.attempt},
               {"engine", closed.engine},
               {"outcome", kOutcomes[static_cast<std::size_t>(outcome)]},
+              {"cause", kCauses[static_cast<std::size_t>(cause)]},
               {"ms", closed.delay.count() / 1000},
               {"util", report.utilisation.value_or(-1)},
               {"inflight", report.in_flight.value_or(-1)}});
@@ -163,10 +169,11 @@
 }
 
 // The engine is told at once, the module once the engine must have heard.
-void Coordinator::give_up(Open& open, Outcome outcome) {
+void Coordinator::give_up(Open& open, Outcome outcome, EndCause cause) {
   engines_->give_up(open.query.id, open.attempts - 1);
   open.out = Out::kClosing;
   open.given_up = outcome;
+  open.given_up_cause = cause;
   given_up_.push_back(open.query.id);
 }
 
@@ -224,9 +231,10 @@
     if (at == open_.end() || at->second.life != due.life) continue;
     Open& open = at->second;
     if (due.what == Due::kAttempt) {
-      if (open.out == Out::kOut && due.attempt == open.attempts - 1) give_up(open, Outcome::kExpired);
+      if (open.out == Out::kOut && due.attempt == open.attempts - 1)
+        give_up(open, Outcome::kExpired, EndCause::kTimedOut);
     } else if (due.what == Due::kGivenUp) {
-      close(open, open.given_up);
+      close(open, open.given_up, open.given_up_cause);
     } else if (!open.answered && open.out != Out::kNone) {
       // Its attempt is on the way to its end, and the module's last word comes with that: look again.
       timeouts_.push({now_ + kCancelStart, Due::kRequest, due.id, due.life, 0});
@@ -234,7 +242,7 @@
       // The module answers before a client's deadline; one that it forgot must still get its answer.
       STEPRAIL_INVARIANT(log_, open.answered);
       gathered_.push_back(ClientGone{due.id});
-      finish(open, {Verdict::kFailed, {}, {}});
+      finish(open, {Verdict::kFailed, {}, {}}, "forgotten");
     }
   }
 }
@@ -249,6 +257,7 @@
     if (at == open_.end()) return;
     if (!std::exchange(at->second.answered, true)) {
       --unanswered_;
+      log_.event(Level::kDebug, "client_gone", {{"id", at->second.query.name}});
       if (routing_ != nullptr) routing_->left(gone->id, Routing::How::kGone);
     }
     forgotten = gone->id, may_forget = true;
@@ -256,7 +265,7 @@
     Open& open = open_.at(closed->id);
     open.out = Out::kNone;
     if (closed->outcome == Outcome::kDelivered && !open.answered)
-      finish(open, {Verdict::kServed, {}, std::move(open.pages)});
+      finish(open, {Verdict::kServed, {}, std::move(open.pages)}, "answered");
     open.pages.clear();
     closed->ended = open.answered;
     forgotten = closed->id, may_forget = true;
@@ -266,13 +275,14 @@
 }
 
 // Every request leaves by this one function; a second answer stops here.
-void Coordinator::finish(Open& open, Answer answer) {
+void Coordinator::finish(Open& open, Answer answer, std::string_view reason) {
   if (open.answered) return;
   open.answered = true;
   --unanswered_;
   log_.event(Level::kDebug, "answered",
              {{"id", open.query.name},
               {"verdict", kVerdicts[static_cast<std::size_t>(answer.verdict)]},
+              {"reason", reason},
               {"ms", (now_ - open.query.taken).count() / 1000},
               {"attempts", open.attempts}});
   if (routing_ != nullptr) {
@@ -313,7 +323,7 @@
   open.sent = now_;
   ++open.attempts;
   // It ended in this very batch, by its client: nothing leaves.
-  if (open.answered) return close(open, Outcome::kUnused);
+  if (open.answered) return close(open, Outcome::kUnused, EndCause::kNotSent);
   Micros patience = open.deadline - now_;
   if (send.patience.count() > 0) patience = std::min(patience, send.patience);
   open.out = Out::kOut;
@@ -333,20 +343,21 @@
   if (at == open_.end()) return;
   Open& open = at->second;
   if (open.out != Out::kOut || cancel.attempt != open.attempts - 1) return;
-  give_up(open, Outcome::kRevoked);
+  give_up(open, Outcome::kRevoked, EndCause::kCalledOff);
 }
 
 void Coordinator::carry_out(const Refuse& refuse) {
   const auto at = open_.find(refuse.id);
   if (at == open_.end()) return;
-  finish(at->second, {Verdict::kRefused, settings_.retry_after ? refuse.wait : Micros{0}, {}});
+  finish(at->second, {Verdict::kRefused, settings_.retry_after ? refuse.wait : Micros{0}, {}},
+         kReasons[static_cast<std::size_t>(refuse.reason)]);
   forget(refuse.id);
 }
 
 void Coordinator::carry_out(const Fail& fail) {
   const auto at = open_.find(fail.id);
   if (at == open_.end()) return;
-  finish(at->second, {Verdict::kFailed, {}, {}});
+  finish(at->second, {Verdict::kFailed, {}, {}}, kReasons[static_cast<std::size_t>(fail.reason)]);
   forget(fail.id);
 }
 
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -62,6 +62,7 @@
     int engine{};
     Micros sent{0};
     Outcome given_up{};              // what the module is told of an attempt that was given up
+    EndCause given_up_cause{};
     std::vector<std::string> pages;  // of an attempt that was delivered but not yet told
   };
   enum class Due { kAlarm, kAttempt, kGivenUp, kRequest };
@@ -79,10 +80,10 @@
   void watch_lateness();
   void expire();
   void decide(Event& event);
-  void close(Open& open, Outcome outcome, LoadReport report = {});
-  void give_up(Open& open, Outcome outcome);
+  void close(Open& open, Outcome outcome, EndCause cause, LoadReport report = {});
+  void give_up(Open& open, Outcome outcome, EndCause cause);
   void tell_given_up();
-  void finish(Open& open, Answer answer);
+  void finish(Open& open, Answer answer, std::string_view reason);
   void forget(RequestId id);
   void arm();
 
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -102,11 +102,27 @@
   virtual void flush() = 0;
 };
 
+// The event that ended an attempt. The module hears of the outcome alone; this is for the log.
+enum class EndCause {
+  kAnswered,        // the whole result is here
+  kEngineError,     // EIO
+  kEngineFull,      // AGAIN
+  kEngineStale,     // STALE
+  kNoConnection,    // none could be had, or it did not come up
+  kDrained,         // the engine began to drain before the command had left
+  kConnectionLost,  // closed or reset under the attempt
+  kSpoiltAnswer,    // something on the connection could not be used
+  kTimedOut,
+  kCalledOff,  // by the module
+  kNotSent     // the request had ended
+};
+
 // How an attempt ended, in the engines' words; the coordinator adds what the request's state says.
 struct AttemptEnd {
   RequestId id{};
   int attempt{};
   Outcome outcome{};
+  EndCause cause{};
   LoadReport report;
   std::vector<std::string> pages;  // delivered: all of them
 };
--- a/src/net/engine_line.cpp
+++ b/src/net/engine_line.cpp
@@ -62,6 +62,13 @@
 
 }  // namespace
 
+std::string_view name_of(Word word) {
+  for (const auto& [name, known] : kWords) {
+    if (known == word) return name;
+  }
+  return "?";
+}
+
 std::optional<RequestId> parse_id(std::string_view text) {
   RequestId id = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id, 16);
--- a/src/net/engine_line.h
+++ b/src/net/engine_line.h
@@ -28,6 +28,8 @@
 // Reads one answer from the start of `bytes`; when it is there whole, `used` says how long it is.
 Parsed parse_answer(std::string_view bytes, EngineAnswer& answer, std::size_t& used);
 
+std::string_view name_of(Word word);  // as it stands on the wire
+
 std::optional<RequestId> parse_id(std::string_view text);  // 16 hex digits
 std::optional<double> parse_number(std::string_view text);
 std::optional<std::int64_t> parse_count(std::string_view text);  // zero or more
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -45,8 +45,8 @@
 // stays behind as `abandoned`, so that an answer that was under way counts for nothing.
 class EnginePool::Line : public std::enable_shared_from_this<Line>, boost::asio::coroutine {
  public:
-  Line(EnginePool& pool, int engine, const tcp::endpoint& to)
-      : pool_(pool), engine_(engine), to_(to), socket_(pool.strand_), limit_(pool.strand_) {
+  Line(EnginePool& pool, int engine, std::uint64_t number, const tcp::endpoint& to)
+      : pool_(pool), engine_(engine), number_(number), to_(to), socket_(pool.strand_), limit_(pool.strand_) {
     opened_ = used_ = pool_.coordinator_.now();
   }
 
@@ -99,6 +99,9 @@
     slot.sink = dispatch.query.sink;
     slot.result_most = slot.sink != nullptr ? dispatch.query.result_most : kResultMost;
     slot.alone = pool_.runs_once(dispatch.query);
+    pool_.log_.event(
+        Level::kDebug, "queued",
+        {{"id", slot.name}, {"attempt", slot.attempt}, {"engine", engine_}, {"connection", number_}});
     slots_.emplace(dispatch.query.id, std::move(slot));
     ++live_;
     out_.push(serve_command(dispatch), last_tag_);
@@ -140,7 +143,7 @@
     for (const auto& [id, attempt] : unsent) {
       slots_.erase(id);
       --live_;
-      pool_.never_written(id, attempt);
+      pool_.never_written(id, attempt, EndCause::kDrained);
     }
   }
 
@@ -194,6 +197,11 @@
     if (!reason.empty() && (live_ > 0 || !up_))
       pool_.log_.line("engine " + std::to_string(engine_) + ": connection lost with " +
                       std::to_string(live_) + " attempts: " + reason);
+    pool_.log_.event(Level::kDebug, "connection_closed",
+                     {{"connection", number_},
+                      {"engine", engine_},
+                      {"attempts", live_},
+                      {"why", reason.empty() ? "not needed" : reason}});
     error_code ignored;
     socket_.close(ignored);
     limit_.cancel();
@@ -205,7 +213,8 @@
       // What the engine cannot have read whole never ran; of the rest nobody knows.
       const bool unwritten = !up_ || out_.holds(slot.tag);
       const Outcome lost = spoilt_ ? Outcome::kAppError : Outcome::kDropped;
-      end(id, slot, unwritten ? Outcome::kDialFailed : lost, {}, {});
+      const EndCause cause = spoilt_ ? EndCause::kSpoiltAnswer : EndCause::kConnectionLost;
+      end(id, slot, unwritten ? Outcome::kDialFailed : lost, up_ ? cause : EndCause::kNoConnection, {}, {});
     }
     const auto probes = std::exchange(probes_, {});
     for (const auto& [number, sent] : probes)
@@ -263,15 +272,16 @@
     slot.have.clear();
   }
 
-  void end(RequestId id, const Slot& slot, Outcome outcome, const LoadReport& report,
+  void end(RequestId id, const Slot& slot, Outcome outcome, EndCause cause, const LoadReport& report,
            std::vector<std::string> pages) {
     pool_.where_.erase(id);
-    pool_.coordinator_.attempt_ended({id, slot.attempt, outcome, report, std::move(pages)});
+    pool_.coordinator_.attempt_ended({id, slot.attempt, outcome, cause, report, std::move(pages)});
   }
 
   // The attempt's end in the engine's own words. The report is a copy: it may stand in the slot that goes
   // here.
-  void finished(std::unordered_map<RequestId, Slot>::iterator at, Outcome outcome, LoadReport report) {
+  void finished(std::unordered_map<RequestId, Slot>::iterator at, Outcome outcome, EndCause cause,
+                LoadReport report) {
     const RequestId id = at->first;
     Slot slot = std::move(at->second);
     slots_.erase(at);
@@ -279,7 +289,7 @@
     --live_;
     used_ = pool_.coordinator_.now();
     if (outcome != Outcome::kDelivered && slot.sink != nullptr) slot.sink->lost(id, slot.attempt);
-    end(id, slot, outcome, report,
+    end(id, slot, outcome, cause, report,
         outcome == Outcome::kDelivered ? std::move(slot.pages) : std::vector<std::string>{});
   }
 
@@ -321,8 +331,12 @@
     }
     const auto id = parse_id(answer.id);
     const auto at = id ? slots_.find(*id) : slots_.end();
-    if (at == slots_.end()) return true;
+    if (at == slots_.end()) {
+      passed_over(answer);
+      return true;
+    }
     Slot& slot = at->second;
+    if (slot.abandoned) passed_over(answer);
     switch (answer.word) {
       case Word::kAck:
         return acknowledged(at, answer);
@@ -330,10 +344,11 @@
       case Word::kStale:
         // What was acknowledged has run: this is no proof of the contrary.
         if (slot.count > 0) return false;
-        finished(at, Outcome::kShed, answer.report);
+        finished(at, Outcome::kShed,
+                 answer.word == Word::kAgain ? EndCause::kEngineFull : EndCause::kEngineStale, answer.report);
         return true;
       case Word::kEio:
-        finished(at, Outcome::kAppError, answer.report);
+        finished(at, Outcome::kAppError, EndCause::kEngineError, answer.report);
         return true;
       case Word::kEvent:
         if (!slot.abandoned) note(*id, slot, answer);
@@ -345,6 +360,13 @@
     }
   }
 
+  // It belongs to no attempt that is out.
+  void passed_over(const EngineAnswer& answer) {
+    pool_.log_.event(
+        Level::kDebug, "passed_over",
+        {{"id", answer.id}, {"word", name_of(answer.word)}, {"engine", engine_}, {"connection", number_}});
+  }
+
   void note(RequestId id, const Slot& slot, const EngineAnswer& answer) {
     Note note{id, slot.attempt, engine_, Topic::kProgress, answer.reading};
     if (answer.why == "overflow") {
@@ -408,7 +430,7 @@
       }
     }
     if (slot.missing == 0) {
-      finished(at, Outcome::kDelivered, slot.report);
+      finished(at, Outcome::kDelivered, EndCause::kAnswered, slot.report);
       return true;
     }
     ask(slot);
@@ -430,6 +452,7 @@
 
   EnginePool& pool_;
   int engine_;
+  std::uint64_t number_;  // of this connection, for the log
   tcp::endpoint to_;
   tcp::socket socket_;
   boost::asio::steady_timer limit_;
@@ -506,7 +529,7 @@
   const bool many = connections_ >= limits_.connections / kOwnPart;
   if ((least && many) || !room_for(index, !least)) return least;
   ++connections_;
-  const auto fresh = std::make_shared<Line>(*this, index, *engine.endpoint);
+  const auto fresh = std::make_shared<Line>(*this, index, ++last_connection_, *engine.endpoint);
   engine.lines.push_back(fresh);
   fresh->run();
   return fresh;
@@ -541,14 +564,14 @@
   const auto index = static_cast<std::size_t>(dispatch.engine);
   const bool open = index < engines_.size() && engines_[index].standing == Standing::kReady;
   const auto line = open ? pick(dispatch.engine, dispatch.query.id, runs_once(dispatch.query)) : nullptr;
-  if (!line) return never_written(dispatch.query.id, dispatch.attempt);
+  if (!line) return never_written(dispatch.query.id, dispatch.attempt, EndCause::kNoConnection);
   where_[dispatch.query.id] = line;
   line->serve(dispatch);
 }
 
-void EnginePool::never_written(RequestId id, int attempt) {
+void EnginePool::never_written(RequestId id, int attempt, EndCause cause) {
   where_.erase(id);
-  coordinator_.attempt_ended({id, attempt, Outcome::kDialFailed, {}, {}});
+  coordinator_.attempt_ended({id, attempt, Outcome::kDialFailed, cause, {}, {}});
 }
 
 void EnginePool::give_up(RequestId id, int attempt) {
--- a/src/net/engine_pool.h
+++ b/src/net/engine_pool.h
@@ -51,7 +51,7 @@
   bool runs_once(const Query& query) const;
   bool room_for(int engine, bool needed);
   void drop(int engine, const Line* line);
-  void never_written(RequestId id, int attempt);
+  void never_written(RequestId id, int attempt, EndCause cause);
   void sweep();
 
   Strand strand_;
@@ -59,7 +59,7 @@
   EventLog& log_;
   Limits limits_;
   boost::asio::steady_timer sweep_;
-  std::uint64_t last_probe_{0};
+  std::uint64_t last_probe_{0}, last_connection_{0};
   std::vector<Engine> engines_;
   std::size_t connections_{0};
   std::unordered_map<RequestId, std::shared_ptr<Line>> where_;  // the line of a request's attempt that is out
