--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -303,6 +303,97 @@
 
 namespace {
 
+// One engine whose only client is the program. Attempts of one request are told apart by the connection and
+// the place of their command on it.
+struct WatchedEngine {
+  explicit WatchedEngine(asio::io_context& io) : listener(io) {}
+  // How often the request has been sent here, on all connections together.
+  std::size_t attempts(const std::string& id) {
+    listener.poll();
+    std::size_t count = 0;
+    const std::string command = "serve " + id + ' ';
+    for (const auto& peer : listener.peers) {
+      const std::string& in = peer->read();
+      for (auto at = in.find(command); at != std::string::npos; at = in.find(command, at + 1)) ++count;
+    }
+    return count;
+  }
+  Listener listener;
+};
+
+json one_engine_config(const tcp::endpoint& listen, const std::string& directory, WatchedEngine& engine) {
+  json from = process_config(listen, directory);
+  from["known"]["updates"] = {event(1, {row(0, address(engine.listener.acceptor))}, true)};
+  from["settings"]["limits"]["most_tries"] = 5;
+  return from;
+}
+
+// Long enough for every wrong attempt to arrive; a right one has nothing to wait for.
+constexpr auto kWrongAttemptsArrive = std::chrono::milliseconds(300);
+
+// Watches the engine until a further attempt would have arrived.
+void expect_attempts(WatchedEngine& engine, const std::string& id, std::size_t count) {
+  const auto end = Clock::now() + kWrongAttemptsArrive;
+  while (Clock::now() < end) {
+    REQUIRE(engine.attempts(id) == count);
+    ::usleep(10'000);
+  }
+}
+
+}  // namespace
+
+// Guards against the errors of several lost pages of one attempt ending the attempts that follow it.
+TEST_CASE("process: lost pages of one attempt do not put several attempts out at once") {
+  asio::io_context io;
+  Listener directory(io);
+  WatchedEngine engine(io);
+  const auto listen = free_endpoint();
+  ConfigFile file(one_engine_config(listen, address(directory.acceptor), engine));
+  Process process(file.path());
+  const auto client = connect(io, listen);
+  client->write(query(1, kId));
+  until([&] { return engine.attempts(kId) == 1; });
+  Peer& first = *engine.listener.peer(0);
+  first.write(ack(kId, "a\t\t\n", 4));
+  until([&] { return first.has("read " + kId + " 3\r\n"); });
+  // One answer for each page that was asked for, and time for the next attempt behind the first.
+  const std::string lost = kId + " EIO - 0\r\n\r\n";
+  first.write(lost);
+  until([&] { return engine.attempts(kId) == 2; });
+  first.write(lost + lost);
+  expect_attempts(engine, kId, 2);
+  for (const auto& peer : engine.listener.peers) peer->write(ack(kId, "b\t\t\n"));
+  until([&] { return client->read().size() > 4; });
+  CHECK(client->in.find("b\t\t\n") != std::string::npos);
+  process.signal(SIGTERM);
+  CHECK(process.wait() == 0);
+}
+
+// Guards against a second copy of "full" that counts for the next attempt: a load would run twice.
+TEST_CASE("process: a second copy of a refusal does not put a load out twice") {
+  asio::io_context io;
+  Listener directory(io);
+  WatchedEngine engine(io);
+  const auto listen = free_endpoint();
+  ConfigFile file(one_engine_config(listen, address(directory.acceptor), engine));
+  Process process(file.path());
+  const auto client = connect(io, listen);
+  client->write(query(1, kId, "load"));
+  until([&] { return engine.attempts(kId) == 1; });
+  const std::string full = kId + " AGAIN - 0\r\n\r\n";
+  engine.listener.peer(0)->write(full);
+  until([&] { return engine.attempts(kId) >= 2; });
+  engine.listener.peer(0)->write(full);
+  expect_attempts(engine, kId, 2);
+  for (const auto& peer : engine.listener.peers) peer->write(ack(kId, "b\t\t\n"));
+  until([&] { return client->read().size() > 4; });
+  CHECK(client->in.find("b\t\t\n") != std::string::npos);
+  process.signal(SIGTERM);
+  CHECK(process.wait() == 0);
+}
+
+namespace {
+
 // Engines by the thousand behind one listener: every address of the loopback range leads to it.
 class ManyEngines {
  public:
