--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -18,9 +18,10 @@
 constexpr std::string_view kOutcomes[] = {"delivered",   "app_error", "shed",    "expired",
                                           "dial_failed", "dropped",   "revoked", "unused"};
 constexpr std::string_view kVerdicts[] = {"served", "refused", "failed"};
-constexpr std::string_view kCauses[] = {"answered",      "engine_error", "engine_full",     "engine_stale",
-                                        "no_connection", "drained",      "connection_lost", "commands_unread",
-                                        "spoilt_answer", "timed_out",    "called_off",      "not_sent"};
+constexpr std::string_view kCauses[] = {
+    "answered",  "engine_error",    "engine_full",     "engine_stale",    "no_connection",
+    "drained",   "connection_lost", "engine_replaced", "commands_unread", "spoilt_answer",
+    "timed_out", "called_off",      "not_sent"};
 constexpr std::string_view kReasons[] = {"route_full",    "loads_full",      "no_engine", "tries_used_up",
                                          "deadline_near", "deadline_passed", "hopeless",  "not_sent"};
 constexpr Micros kLate{30'000}, kLateLines{200'000};  // what is logged, and how often
@@ -105,7 +106,8 @@
   Open& open = at->second;
   if (open.out != Out::kOut || end.attempt != open.attempts - 1) return;
   // Its connection was closed from here: as with a cancel, the engine has yet to hear of it.
-  const bool closed_here = end.cause == EndCause::kSpoiltAnswer || end.cause == EndCause::kCommandsUnread;
+  const bool closed_here = end.cause == EndCause::kSpoiltAnswer || end.cause == EndCause::kCommandsUnread ||
+                           end.cause == EndCause::kEngineReplaced;
   if (closed_here && end.outcome != Outcome::kDialFailed) {
     hold_back(open, end.outcome, end.cause);
     return wake();
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -110,7 +110,8 @@
   kEngineStale,     // STALE
   kNoConnection,    // none could be had, or it did not come up
   kDrained,         // the engine began to drain before the command had left
-  kConnectionLost,  // closed or reset by the engine, or its process is gone
+  kConnectionLost,  // closed or reset by the engine
+  kEngineReplaced,  // closed here, as the list tells of a later start or another address
   kCommandsUnread,  // closed here, as the engine did not read
   kSpoiltAnswer,    // closed here, as something on the connection could not be used
   kTimedOut,
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -185,6 +185,11 @@
     close(reason);
   }
 
+  void replaced() {
+    lost_by_ = EndCause::kEngineReplaced;
+    close("the engine has started anew");
+  }
+
   // With a reason: worth a line in the log. Attempts on it end here.
   void close(const std::string& reason) {
     if (std::exchange(closed_, true)) return;
@@ -474,7 +479,7 @@
       continue;
     }
     const bool dead = moved || (change.came_up > engine.came_up && line->opened() < change.came_up);
-    if (dead) line->close("the engine has started anew");
+    if (dead) line->replaced();
   }
   if (moved) {
     engine.address = change.address;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -123,6 +123,26 @@
   CHECK(w.engines[shared]->peer(0)->ended());
 }
 
+// Guards against a next attempt beside one that the process before a restart, or at another address, still
+// runs.
+TEST_CASE(
+    "an attempt at an engine that is listed with a later start begins anew once its engine must have heard") {
+  World w(1);
+  const auto client = w.client();
+  client->write(query(1, kId));
+  w.until([&] { return w.engines[0]->has(0, "serve " + kId) && w.directory.has(0, "follow 1\n"); });
+  json again = row(0, address(w.engines[0]->acceptor));
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  again["since_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  const auto told = std::chrono::steady_clock::now();
+  w.directory.peer(0)->write(event(2, {again}, false).dump() + "\n2\n");
+  w.until([&] { return w.engines[0]->has(1, "serve " + kId); });
+  const auto waited = std::chrono::steady_clock::now() - told;
+  CHECK(waited >= std::chrono::milliseconds(100));
+  CHECK(waited < std::chrono::seconds(3));
+  CHECK((w.engines[0]->peer(0)->read(), w.engines[0]->peer(0)->ended()));
+}
+
 // Guards against a load given up although a refused connection proves that it never ran.
 TEST_CASE("a load goes on to another engine where the first one refuses the connection") {
   World w(2);
