--- a/review/1/case.py
+++ b/review/1/case.py
@@ -57,4 +57,4 @@
         return 1 if lost or not running or not device.wanted[1].finals else 0
 
 
-play(HERE, main)
+play(HERE / "record.txt", main)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -69,4 +69,4 @@
         return 1 if lost else 0
 
 
-play(HERE, main)
+play(HERE / "record.txt", main)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -80,4 +80,4 @@
         return 1 if broken else 0
 
 
-play(HERE, main)
+play(HERE / "record.txt", main)
--- a/review/standin/stand.py
+++ b/review/standin/stand.py
@@ -611,9 +611,9 @@
         return [run for run in self.runs if run.name == name]
 
 
-def play(folder, main):
+def play(record_path, main):
     """Runs a case and ends with its exit code: 0 the rule held, 1 it was broken, 2 the case could not run."""
-    record = Record(pathlib.Path(folder) / "record.txt")
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"TROUBLE={int(trouble)}")
 
