Log how many open calls a closed client connection leaves unanswered

The lines on closed client connections gave the reason alone.

Change: the line, and the line that counts the others, name the calls that stay without an answer.

--- a/src/net/framed.cpp
+++ b/src/net/framed.cpp
@@ -20,6 +20,11 @@
 constexpr Micros kFrameTimeout{2'000'000};
 constexpr Micros kFirstRequestGrace{250'000};  // the first request may still be on its way
 constexpr Micros kUnreadTimeout{5'000'000};    // for a client that reads nothing
+
+// The end of a log line about closed connections; empty where all their calls were answered.
+std::string unanswered_calls(std::size_t count) {
+  return count == 0 ? "" : ", " + std::to_string(count) + " calls without an answer";
+}
 }  // namespace
 
 #include <boost/asio/yield.hpp>
@@ -123,7 +128,7 @@
 
 void FramedServer::Session::close(const char* reason) {
   if (std::exchange(closed_, true)) return;
-  if (reason != nullptr) server_.log_client_closed(reason);
+  if (reason != nullptr) server_.log_client_closed(reason, open_call_count());
   error_code ignored;
   socket_.close(ignored);
   on_closed();
@@ -228,9 +233,10 @@
 
 // Misbehaving clients come by the hundred, so only the first few closes between two sweeps are logged, and
 // then the number of the others.
-void FramedServer::log_client_closed(const char* reason) {
+void FramedServer::log_client_closed(const char* reason, std::size_t open_calls) {
   if (++closed_since_sweep_ <= kMaxCloseLogLines)
-    log_.message("client connection closed: " + std::string(reason));
+    return log_.message("client connection closed: " + std::string(reason) + unanswered_calls(open_calls));
+  unlogged_open_calls_ += open_calls;
 }
 
 bool FramedServer::evict_session() {
@@ -262,9 +268,10 @@
     log_.flush();
     const Micros now = coordinator_.now();
     if (closed_since_sweep_ > kMaxCloseLogLines)
-      log_.message("client connections closed besides: " +
-                   std::to_string(closed_since_sweep_ - kMaxCloseLogLines));
-    closed_since_sweep_ = 0;
+      log_.message(
+          "client connections closed besides: " + std::to_string(closed_since_sweep_ - kMaxCloseLogLines) +
+          unanswered_calls(unlogged_open_calls_));
+    closed_since_sweep_ = unlogged_open_calls_ = 0;
     const auto sessions = sessions_;
     for (const auto& [_, session] : sessions) session->sweep(now);
     accept();
--- a/src/net/framed.h
+++ b/src/net/framed.h
@@ -67,8 +67,10 @@
     virtual bool handle_frame(std::string_view frame) = 0;
     // Called when the connection has been closed.
     virtual void on_closed() = 0;
+    // Calls received whole that have no answer yet.
+    virtual std::size_t open_call_count() const = 0;
     // A connection with open calls is not idle.
-    virtual bool has_open_calls() const = 0;
+    bool has_open_calls() const { return open_call_count() > 0; }
     // True if further calls have to wait for something other than the output queue; the derived class calls
     // resume_reading() when that has happened.
     virtual bool calls_blocked() const { return false; }
@@ -114,7 +116,7 @@
   void accept();
   void remove_session(std::uint64_t session);
   bool evict_session();
-  void log_client_closed(const char* reason);
+  void log_client_closed(const char* reason, std::size_t open_calls);
   bool over_buffer_limit() const;
   void sweep();
 
@@ -122,7 +124,8 @@
   boost::asio::steady_timer accept_pause_timer_, sweep_timer_;
   bool accepting_{false};
   std::uint64_t last_session_number_{0};
-  std::size_t closed_since_sweep_{0};  // because of their clients' behaviour
+  // because of their clients' behaviour, and the calls of those that are not logged one by one
+  std::size_t closed_since_sweep_{0}, unlogged_open_calls_{0};
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> sessions_;
   std::vector<std::shared_ptr<Session>> dirty_;
 };
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -17,7 +17,7 @@
   }
 
  protected:
-  bool has_open_calls() const override { return !open_calls_.empty(); }
+  std::size_t open_call_count() const override { return open_calls_.size(); }
 
   void on_closed() override {
     for (const auto& [call, id] : open_calls_) front_.coordinator_.client_gone(id);
--- a/src/spool/reader_front.cpp
+++ b/src/spool/reader_front.cpp
@@ -100,7 +100,7 @@
   }
 
  protected:
-  bool has_open_calls() const override { return !calls_.empty() || fetching_; }
+  std::size_t open_call_count() const override { return calls_.size() + (fetching_ ? 1 : 0); }
   // Answers are sent in the order of the calls, and a reader holds one window at a time.
   bool calls_blocked() const override { return fetching_; }
 
