--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -22,25 +22,45 @@
   // Returns space for the next read. Bytes already parsed are dropped first; the rest moves only if space
   // runs out.
   boost::asio::mutable_buffer prepare() {
-    constexpr std::size_t kMinReadBytes = 2048;
-    if (bytes_.size() - end_ < kMinReadBytes && begin_ > 0) {
-      std::copy(bytes_.begin() + static_cast<std::ptrdiff_t>(begin_),
-                bytes_.begin() + static_cast<std::ptrdiff_t>(end_), bytes_.begin());
-      end_ -= begin_;
-      begin_ = 0;
-    }
+    if (bytes_.size() - end_ < kMinReadBytes) drop_parsed();
     if (bytes_.size() - end_ < kMinReadBytes) bytes_.resize(std::max(2 * kMinReadBytes, 2 * bytes_.size()));
     return boost::asio::buffer(bytes_.data() + end_, bytes_.size() - end_);
   }
+  // Returns space for the rest of a message of which a part has been received and whose length is known.
+  // The buffer grows at most to that length.
+  boost::asio::mutable_buffer prepare(std::size_t message_bytes) {
+    if (end_ - begin_ >= message_bytes) return prepare();
+    reserve(message_bytes);
+    return boost::asio::buffer(bytes_.data() + end_, bytes_.size() - end_);
+  }
+  // Makes room for a message of that length, counted from the first byte not parsed yet.
+  void reserve(std::size_t message_bytes) {
+    if (bytes_.size() - begin_ < message_bytes) drop_parsed();
+    if (bytes_.size() < message_bytes) bytes_.resize(std::max(2 * kMinReadBytes, message_bytes));
+  }
   void commit(std::size_t count) { end_ += count; }
   std::size_t capacity() const { return bytes_.size(); }
-  // Frees the memory that a long message needed once nothing is left to parse.
+  // Frees the memory that a long message needed once little is left to parse.
   void shrink() {
-    constexpr std::size_t kMaxRetainedBytes = 16 << 10;
-    if (begin_ == end_ && bytes_.size() > kMaxRetainedBytes) *this = {};
+    constexpr std::size_t kMaxRetainedBytes = 16 << 10, kLittleBytes = 2 * kMinReadBytes;
+    if (bytes_.size() <= kMaxRetainedBytes || end_ - begin_ > kLittleBytes) return;
+    std::vector<char> rest(bytes_.begin() + static_cast<std::ptrdiff_t>(begin_),
+                           bytes_.begin() + static_cast<std::ptrdiff_t>(end_));
+    bytes_ = std::move(rest);
+    begin_ = 0;
+    end_ = bytes_.size();
   }
 
  private:
+  static constexpr std::size_t kMinReadBytes = 2048;
+
+  void drop_parsed() {
+    std::copy(bytes_.begin() + static_cast<std::ptrdiff_t>(begin_),
+              bytes_.begin() + static_cast<std::ptrdiff_t>(end_), bytes_.begin());
+    end_ -= begin_;
+    begin_ = 0;
+  }
+
   std::vector<char> bytes_;
   std::size_t begin_{0}, end_{0};
 };
--- a/src/net/framed.cpp
+++ b/src/net/framed.cpp
@@ -1,5 +1,9 @@
 #include "net/framed.h"
 
+#include <poll.h>
+
+#include <algorithm>
+
 #include "net/thrift.h"
 
 namespace steprail {
@@ -8,18 +12,18 @@
 
 namespace {
 constexpr std::int64_t kMaxFrameBytes = 256 << 10;
-// Every session may buffer this much; more counts against max_buffered_bytes.
+// Every session may buffer this much; more counts against max_long_frame_bytes.
 constexpr std::size_t kSmallFrameBytes = 32 << 10;
 // Answers that a client does not read: more than 32 of the longest.
-constexpr std::size_t kMaxUnreadBytes = 2 << 20;
+constexpr std::size_t kMaxUnreadPerSession = 2 << 20;
 constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr std::chrono::milliseconds kSweepInterval{250};
-constexpr std::size_t kMaxCloseLogLines = 4;  // between two sweeps
-// Clients connect in order to send a request at once. One without a whole frame by then will never send one
-// and should be closed soon.
-constexpr Micros kFrameTimeout{2'000'000};
+constexpr std::chrono::milliseconds kSpaceRetryInterval{10};
+constexpr std::size_t kMaxCloseLogLines = 4;   // between two sweeps
 constexpr Micros kFirstRequestGrace{250'000};  // the first request may still be on its way
 constexpr Micros kUnreadTimeout{5'000'000};    // for a client that reads nothing
+constexpr const char* kAnswersUnread = "client leaves its answers unread";
+constexpr const char* kNoFrameSpace = "no buffer space for a frame of this length";
 
 // The end of a log line about closed connections; empty where all their calls were answered.
 std::string unanswered_calls(std::size_t count) {
@@ -36,20 +40,30 @@
 
 void FramedServer::Session::read(error_code error, std::size_t count) {
   if (closed_) return;
-  if (error) return close(nullptr);
+  if (error && !(discard_requested_ && error == boost::asio::error::operation_aborted)) return close(nullptr);
   reenter(this) {
     for (;;) {
+      if (!server_.reserve_frame_space(*this)) {
+        yield server_.wait_for_space(shared_from_this());
+      }
       yield socket_.async_read_some(
-          in_.prepare(), [self = shared_from_this()](error_code e, std::size_t n) { self->read(e, n); });
+          in_.prepare(partial_frame_bytes_),
+          [self = shared_from_this()](error_code e, std::size_t n) { self->read(e, n); });
+      if (discarding_) continue;
       in_.commit(count);
       if (!handle_frames()) return;
+      // A frame that has become whole in the meantime is no reason to discard anything.
+      if (std::exchange(discard_requested_, false) && count == 0 && partial_frame_) {
+        discarding_ = true;
+        partial_frame_bytes_ = 0;
+        in_ = {};
+        continue;
+      }
       while (reading_paused()) {
         yield reading_suspended_ = true;
         if (!handle_frames()) return;
       }
-      in_.shrink();
-      if (in_.capacity() > kSmallFrameBytes && server_.over_buffer_limit())
-        return close("no buffer space for a frame of this length");
+      if (partial_frame_bytes_ <= kSmallFrameBytes) in_.shrink();
     }
   }
 }
@@ -70,12 +84,46 @@
 }
 
 void FramedServer::Session::restart_idle_timer() {
-  if (!partial_frame_) last_activity_at_ = server_.coordinator_.now();
+  if (!partial_frame_ || waiting_for_space_) last_activity_at_ = server_.coordinator_.now();
+}
+
+std::size_t FramedServer::Session::long_frame_bytes() const {
+  return in_.capacity() > kSmallFrameBytes && !discard_requested_ ? in_.capacity() : 0;
+}
+
+std::size_t FramedServer::Session::missing_frame_bytes() const {
+  if (partial_frame_bytes_ <= std::max(kSmallFrameBytes, in_.capacity())) return 0;
+  return partial_frame_bytes_ - long_frame_bytes();
+}
+
+std::optional<LongFrame> FramedServer::Session::long_frame(Micros now) const {
+  if (long_frame_bytes() == 0 || !partial_frame_ || waiting_for_space_) return std::nullopt;
+  return LongFrame{now - space_taken_at_, has_open_calls() || !out_.empty(), received_frame_};
+}
+
+void FramedServer::Session::take_frame_space(Micros now) {
+  in_.reserve(partial_frame_bytes_);
+  space_taken_at_ = now;
+}
+
+void FramedServer::Session::continue_reading() {
+  waiting_for_space_ = false;
+  // The client has not been slow while nothing was read from it. Without open calls the frame has to come
+  // within its time all the same.
+  if (has_open_calls()) last_activity_at_ = server_.coordinator_.now();
+  boost::asio::post(server_.strand_, [self = shared_from_this()] { self->read(); });
 }
 
-// Bytes held beyond what every session may buffer.
-std::size_t FramedServer::Session::buffered_bytes() const {
-  return (in_.capacity() > kSmallFrameBytes ? in_.capacity() : 0) + out_.unshared_size();
+void FramedServer::Session::discard_input() {
+  discard_requested_ = true;
+  error_code ignored;
+  socket_.cancel(ignored);
+}
+
+// Also true if the close stands behind bytes that have not been read.
+bool FramedServer::Session::client_has_closed() {
+  pollfd descriptor{socket_.native_handle(), POLLRDHUP, 0};
+  return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 // The greatest rank is closed first when there are too many connections: those without any request so far
@@ -89,12 +137,13 @@
 }
 
 void FramedServer::Session::sweep(Micros now) {
-  if (write_blocked_ && now - write_blocked_since_ > kUnreadTimeout)
-    return close("client leaves its answers unread");
-  if (has_open_calls()) return;
-  if (now - last_activity_at_ >
+  if (write_blocked_ && now - write_blocked_since_ > kUnreadTimeout) return close(kAnswersUnread);
+  if (has_open_calls() || !out_.empty()) return;
+  if (now - last_activity_at_ <=
       (received_frame_ && !partial_frame_ ? server_.limits_.idle_timeout : kFrameTimeout))
-    close(received_frame_ ? nullptr : "no request in time");
+    return;
+  if (waiting_for_space_) return close(kNoFrameSpace);
+  close(received_frame_ ? nullptr : "no request in time");
 }
 
 void FramedServer::Session::schedule_write() {
@@ -110,15 +159,17 @@
     const std::size_t count = socket_.write_some(out_.gather(), error);
     out_.mark_sent(count);
     if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
-      const std::size_t max_unread = std::max(kMaxUnreadBytes, 2 * server_.limits_.pause_threshold);
-      if (out_.size() > max_unread || server_.over_buffer_limit())
-        return close("client leaves its answers unread");
+      const std::size_t max_unread = std::max(kMaxUnreadPerSession, 2 * server_.limits_.pause_threshold);
+      if (out_.size() > max_unread) return close(kAnswersUnread);
       write_blocked_since_ = server_.coordinator_.now();
       write_blocked_ = true;
-      socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code e) {
+      socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code) {
         self->write_blocked_ = false;
-        if (!e) self->write();
+        // The wait may also have been aborted, by close() or by discard_input(). Only a closed connection has
+        // nothing left to write then.
+        self->write();
       });
+      server_.limit_unread_answers();
     } else if (error) {
       return close(nullptr);
     }
@@ -138,6 +189,7 @@
 }
 
 bool FramedServer::Session::handle_frames() {
+  partial_frame_bytes_ = 0;
   for (;;) {
     if (reading_paused()) return true;
     const std::string_view bytes = in_.view();
@@ -146,7 +198,10 @@
     if (length < 0 || length > kMaxFrameBytes)
       return close("invalid frame length: none may have a length of zero or beyond the maximum"), false;
     const auto frame_bytes = thrift::kFrameHeaderBytes + static_cast<std::size_t>(length);
-    if (bytes.size() < frame_bytes) return note_partial_frame(true);
+    if (bytes.size() < frame_bytes) {
+      partial_frame_bytes_ = frame_bytes;
+      return note_partial_frame(true);
+    }
     if (!handle_frame(bytes.substr(thrift::kFrameHeaderBytes, static_cast<std::size_t>(length))))
       return close("frame cannot be read"), false;
     if (closed_) return false;
@@ -171,7 +226,8 @@
       limits_(limits),
       acceptor_(strand),
       accept_pause_timer_(strand),
-      sweep_timer_(strand) {}
+      sweep_timer_(strand),
+      space_timer_(strand) {}
 
 FramedServer::~FramedServer() = default;
 
@@ -254,11 +310,90 @@
   return true;
 }
 
-// The unread answers and long partial frames of all clients together are limited as well.
-bool FramedServer::over_buffer_limit() const {
-  std::size_t bytes = 0;
-  for (const auto& [_, session] : sessions_) bytes += session->buffered_bytes();
-  return bytes > limits_.max_buffered_bytes;
+bool FramedServer::reserve_frame_space(Session& session) {
+  const std::size_t missing = session.missing_frame_bytes();
+  if (missing == 0) return true;
+  if (!waiting_for_space_.empty() || !make_frame_space(missing)) return false;
+  session.take_frame_space(coordinator_.now());
+  return true;
+}
+
+void FramedServer::wait_for_space(std::shared_ptr<Session> session) {
+  session->waiting_for_space_ = true;
+  waiting_for_space_.push_back(std::move(session));
+  if (waiting_for_space_.size() == 1) serve_waiting();
+}
+
+// Clients with open calls come first: a connection that may not be closed should not have to wait either.
+// Then come those that have sent whole frames before.
+void FramedServer::serve_waiting() {
+  space_timer_.expires_after(kSpaceRetryInterval);
+  space_timer_.async_wait([this](error_code error) {
+    if (error) return;
+    // While nothing is read from a connection, only this shows that its client has gone.
+    for (const auto& session : waiting_for_space_) {
+      if (!session->closed() && session->client_has_closed()) session->close(nullptr);
+    }
+    std::erase_if(waiting_for_space_, [](const auto& session) { return session->closed(); });
+    const auto order = [](const auto& session) {
+      return std::pair(!session->has_open_calls(), !session->received_frame_);
+    };
+    std::stable_sort(waiting_for_space_.begin(), waiting_for_space_.end(),
+                     [&](const auto& a, const auto& b) { return order(a) < order(b); });
+    std::size_t served = 0;
+    while (served < waiting_for_space_.size() &&
+           make_frame_space(waiting_for_space_[served]->missing_frame_bytes())) {
+      Session& session = *waiting_for_space_[served++];
+      session.take_frame_space(coordinator_.now());
+      session.continue_reading();
+    }
+    waiting_for_space_.erase(waiting_for_space_.begin(),
+                             waiting_for_space_.begin() + static_cast<std::ptrdiff_t>(served));
+    if (!waiting_for_space_.empty()) serve_waiting();
+  });
+}
+
+// A frame longer than the limit is taken if it is the only one.
+bool FramedServer::make_frame_space(std::size_t bytes) {
+  for (;;) {
+    std::size_t held = 0;
+    for (const auto& [_, session] : sessions_) held += session->long_frame_bytes();
+    if (held == 0 || held + bytes <= limits_.max_long_frame_bytes) return true;
+    const Micros now = coordinator_.now();
+    const auto session = next_to_release(now);
+    if (!session) return false;
+    if (release_of(*session->long_frame(now)) == FrameRelease::kClose) {
+      session->close(kNoFrameSpace);
+    } else {
+      session->discard_input();
+    }
+  }
+}
+
+std::shared_ptr<FramedServer::Session> FramedServer::next_to_release(Micros now) const {
+  std::shared_ptr<Session> next;
+  std::optional<LongFrame> next_frame;
+  for (const auto& [_, session] : sessions_) {
+    const auto frame = session->long_frame(now);
+    if (!frame || release_of(*frame) == FrameRelease::kNone) continue;
+    if (!next_frame || released_before(*frame, *next_frame)) next = session, next_frame = frame;
+  }
+  return next;
+}
+
+// The connections with the most unread answers are closed first: a client that reads never has many.
+void FramedServer::limit_unread_answers() {
+  for (;;) {
+    std::size_t unread = 0;
+    std::shared_ptr<Session> largest;
+    for (const auto& [_, session] : sessions_) {
+      if (!session->write_blocked_) continue;
+      unread += session->out_.unshared_size();
+      if (!largest || session->out_.unshared_size() > largest->out_.unshared_size()) largest = session;
+    }
+    if (unread <= limits_.max_unread_bytes) return;
+    largest->close(kAnswersUnread);
+  }
 }
 
 void FramedServer::sweep() {
--- a/src/net/framed.h
+++ b/src/net/framed.h
@@ -11,6 +11,7 @@
 
 #include "core/coordinator.h"
 #include "net/buffers.h"
+#include "net/frame_space.h"
 
 namespace steprail {
 
@@ -19,10 +20,11 @@
 class FramedServer {
  public:
   struct Limits {
-    std::size_t max_sessions{};        // open connections
-    std::size_t max_buffered_bytes{};  // long frames and unread answers of all connections together
-    std::size_t max_open_calls{32};    // per connection
-    Micros idle_timeout{6'000'000};    // clients themselves close a connection that was idle for 4 s
+    std::size_t max_sessions{};          // open connections
+    std::size_t max_long_frame_bytes{};  // buffers of long frames, of all connections together
+    std::size_t max_unread_bytes{};      // unread answers of all connections together
+    std::size_t max_open_calls{32};      // per connection
+    Micros idle_timeout{6'000'000};      // clients themselves close a connection that was idle for 4 s
     // While more bytes than this are queued on a connection, no further calls are read from it; 0: no limit.
     std::size_t pause_threshold{0};
   };
@@ -87,7 +89,16 @@
     bool reading_paused() const;
     void sweep(Micros now);
     std::optional<std::pair<bool, Micros>> eviction_rank(Micros now) const;
-    std::size_t buffered_bytes() const;
+    // Space of a long frame: bytes held, bytes that the frame still needs, and its standing against others.
+    std::size_t long_frame_bytes() const;
+    std::size_t missing_frame_bytes() const;
+    std::optional<LongFrame> long_frame(Micros now) const;
+    // Takes the space for the whole frame that has begun.
+    void take_frame_space(Micros now);
+    void continue_reading();
+    // Drops all input from now on; the connection ends when its open calls are answered.
+    void discard_input();
+    bool client_has_closed();
 
     FramedServer& server_;
     tcp::socket socket_;
@@ -97,6 +108,11 @@
     bool dirty_{false}, write_blocked_{false}, closed_{false}, reading_suspended_{false};
     // a whole frame has been received; part of the next one has been
     bool received_frame_{false}, partial_frame_{false};
+    std::size_t partial_frame_bytes_{0};  // length of that frame with its header; 0 while it is not known
+    // reading waits for the space of a long frame
+    bool waiting_for_space_{false};
+    Micros space_taken_at_{0};
+    bool discard_requested_{false}, discarding_{false};
     // time of connect, of the last request or answer, or of the first byte of an incomplete frame
     Micros last_activity_at_{0};
     Micros write_blocked_since_{0};
@@ -117,17 +133,25 @@
   void remove_session(std::uint64_t session);
   bool evict_session();
   void log_client_closed(const char* reason, std::size_t open_calls);
-  bool over_buffer_limit() const;
   void sweep();
+  // Takes space for the long frame that the session has begun to receive, if it needs any. If there is none,
+  // the session has to wait_for_space(), and reads on once it has its space.
+  bool reserve_frame_space(Session& session);
+  void wait_for_space(std::shared_ptr<Session> session);
+  void serve_waiting();
+  bool make_frame_space(std::size_t bytes);
+  std::shared_ptr<Session> next_to_release(Micros now) const;
+  void limit_unread_answers();
 
   tcp::acceptor acceptor_;
-  boost::asio::steady_timer accept_pause_timer_, sweep_timer_;
+  boost::asio::steady_timer accept_pause_timer_, sweep_timer_, space_timer_;
   bool accepting_{false};
   std::uint64_t last_session_number_{0};
   // because of their clients' behaviour, and the calls of those that are not logged one by one
   std::size_t closed_since_sweep_{0}, unlogged_open_calls_{0};
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> sessions_;
   std::vector<std::shared_ptr<Session>> dirty_;
+  std::vector<std::shared_ptr<Session>> waiting_for_space_;  // in the order of their requests
 };
 
 }  // namespace steprail
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -20,7 +20,8 @@
 constexpr std::chrono::seconds kListenTimeout{30};
 constexpr std::chrono::milliseconds kListenRetryInterval{50};
 constexpr std::chrono::seconds kMaxDeviceDrain{15};  // time for devices to receive messages in transit
-constexpr std::size_t kClientBufferDivisor = 8;      // 1/8 of the memory may buffer replies to slow clients
+constexpr std::size_t kUnreadDivisor = 8;            // 1/8 of the memory may buffer replies to slow clients
+constexpr std::size_t kLongFrameDivisor = 16;        // 1/16 of the memory may buffer long requests in part
 constexpr std::size_t kSpoolDescriptors = 16;        // listener, index, segments being written or read
 constexpr std::size_t kReservedDescriptors = 24;     // log, epoll, timers, signals, listener, directory
 }  // namespace
@@ -38,7 +39,8 @@
       engines_(strand_, coordinator_, log_, engine_limits()),
       front_(strand_, coordinator_, log_, config_.tables,
              {.max_sessions = max_client_connections(),
-              .max_buffered_bytes = (config_.memory_mb << 20) / kClientBufferDivisor}),
+              .max_long_frame_bytes = (config_.memory_mb << 20) / kLongFrameDivisor,
+              .max_unread_bytes = (config_.memory_mb << 20) / kUnreadDivisor}),
       directory_(strand_, coordinator_, log_, config_.tables, config_.directory, request_settle_time(),
                  config_.seed) {
   coordinator_.attach(engines_);
@@ -79,7 +81,8 @@
 
 FramedServer::Limits Server::reader_limits() const {
   return {.max_sessions = operator_conf_.spool.max_sessions,
-          .max_buffered_bytes = (config_.memory_mb << 20) / kClientBufferDivisor,
+          .max_long_frame_bytes = (config_.memory_mb << 20) / kLongFrameDivisor,
+          .max_unread_bytes = (config_.memory_mb << 20) / kUnreadDivisor,
           .idle_timeout = std::max(operator_conf_.spool.logic.lease, Micros{kSettleMargin}),
           .pause_threshold = operator_conf_.spool.max_unread_bytes};
 }
--- a/tests/net_world.h
+++ b/tests/net_world.h
@@ -153,12 +153,12 @@
   return encode_text(encode_number(0x80010000u | static_cast<unsigned>(kind)) + encode_text(method) +
                      encode_number(static_cast<std::uint32_t>(call)) + args);
 }
-inline std::string execute(int call, const std::vector<std::pair<std::string, std::string>>& fields) {
+inline std::string execute(int call, const std::vector<std::pair<std::string, std::string>>& fields,
+                           const std::string& statement = "select 1 from a_7.t") {
   std::string args =
       "\x0d" + encode_number(1, 2) + "\x0b\x0b" + encode_number(static_cast<std::uint32_t>(fields.size()));
   for (const auto& [name, value] : fields) args += encode_text(name) + encode_text(value);
-  return frame(1, "execute", call,
-               args + "\x0b" + encode_number(2, 2) + encode_text("select 1 from a_7.t") + '\0');
+  return frame(1, "execute", call, args + "\x0b" + encode_number(2, 2) + encode_text(statement) + '\0');
 }
 inline std::string query(int call, const std::string& id, const std::string& verb = "lookup",
                          const std::string& limit = "9000") {
