--- a/src/edge/codec.cpp
+++ b/src/edge/codec.cpp
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "base/utf8.h"
+
 namespace steprail::edge {
 namespace {
 
@@ -24,6 +26,14 @@
                                                                  {"failed", Outcome::Status::kFailed},
                                                                  {"unknown", Outcome::Status::kUnknown}};
 
+// The beginning of a word of the input for an error text. The text may be sent back in JSON, which holds
+// UTF-8 alone; words in CBOR need not be UTF-8, and such a word is not quoted.
+std::string quoted(const std::string& word) {
+  constexpr std::size_t kMaxQuotedBytes = 32;
+  if (!is_utf8(word)) return ", which is no UTF-8";
+  return " '" + std::string(utf8_prefix(word, kMaxQuotedBytes)) + "'";
+}
+
 template <typename T, std::size_t N>
 const char* name_of(const std::pair<const char*, T> (&names)[N], T value) {
   for (const auto& [name, known] : names) {
@@ -36,7 +46,7 @@
   for (const auto& [name, known] : names) {
     if (text == name) return known;
   }
-  throw std::invalid_argument("unknown word '" + text.substr(0, 32) + "'");
+  throw std::invalid_argument("unknown word" + quoted(text));
 }
 
 // 64-bit numbers are written as hexadecimal text, as JSON readers may hold numbers as doubles.
@@ -124,31 +134,6 @@
   return out;
 }
 
-bool is_utf8(std::string_view text) {
-  for (std::size_t i = 0; i < text.size();) {
-    const auto c = static_cast<unsigned char>(text[i]);
-    const std::size_t continuation_bytes = c < 0x80                ? 0
-                                           : c >= 0xc2 && c < 0xe0 ? 1
-                                           : (c & 0xf0) == 0xe0    ? 2
-                                           : c >= 0xf0 && c < 0xf5 ? 3
-                                                                   : 9;
-    if (continuation_bytes == 9 || i + continuation_bytes >= text.size() + 0u) {
-      if (continuation_bytes == 9 || i + continuation_bytes > text.size() - 1) return false;
-    }
-    std::uint32_t code_point = continuation_bytes == 0 ? c : c & (0x3f >> continuation_bytes);
-    for (std::size_t j = 1; j <= continuation_bytes; ++j) {
-      const auto next = static_cast<unsigned char>(text[i + j]);
-      if ((next & 0xc0) != 0x80) return false;
-      code_point = code_point << 6 | (next & 0x3f);
-    }
-    if ((continuation_bytes == 2 && (code_point < 0x800 || (code_point >= 0xd800 && code_point < 0xe000))) ||
-        (continuation_bytes == 3 && (code_point < 0x10000 || code_point > 0x10ffff)))
-      return false;
-    i += continuation_bytes + 1;
-  }
-  return true;
-}
-
 json body_to_json(const Body& body, Format format) {
   json out = {{"k", name_of(kBodyKinds, body.kind)}};
   if (body.kind != Body::Kind::kNotice) out["key"] = body.key;
--- a/src/edge/codec.h
+++ b/src/edge/codec.h
@@ -14,9 +14,10 @@
 constexpr std::size_t kMaxFrameBytes = 256 << 10;  // after decompression
 constexpr int kMaxNesting = 6;
 
+// Throws nlohmann::json::exception if a text of the frame cannot be represented in JSON.
 std::string encode(const Frame& frame, Format format);
 // Returns false if `bytes` are not a frame: malformed, nested too deep, or with fields of the wrong type;
-// `reason` says which.
+// `reason` says which, in valid UTF-8, so that it can be sent in either format.
 bool decode(std::string_view bytes, Format format, Frame& frame, std::string& reason);
 
 // The body of a long poll request, and of the response to it.
--- a/src/edge/fronts.cpp
+++ b/src/edge/fronts.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/websocket.hpp>
 #include <deque>
 
+#include "base/utf8.h"
+
 namespace steprail::edge {
 
 namespace beast = boost::beast;
@@ -38,7 +40,8 @@
   Frame frame;
   frame.type = Frame::Type::kError;
   frame.code = code;
-  frame.text = text;
+  // An error can always be sent, whatever its text was made of.
+  frame.text = is_utf8(text) ? text : "the reason cannot be represented";
   frame.retry_safe = again;
   return frame;
 }
--- a/tests/base/logic_test.cpp
+++ b/tests/base/logic_test.cpp
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/timing_wheel.h"
+#include "base/utf8.h"
 #include "base/worker.h"
 
 namespace {
@@ -202,3 +203,25 @@
   backoff.reset();
   CHECK(backoff.next_delay() <= std::chrono::milliseconds(10));
 }
+
+// Guards against text that is cut within a character, which no JSON can hold.
+TEST_CASE("a prefix of UTF-8 is UTF-8, within its length, and as long as whole characters allow") {
+  rc::prop("any text of whole characters", [] {
+    const auto character = rc::gen::element<std::string>("a", "\xc3\xa9", "\xe2\x82\xac", "\xf0\x9f\x8e\xb5");
+    std::string text;
+    for (const std::string& part : *rc::gen::container<std::vector<std::string>>(character)) text += part;
+    const auto max_bytes = *rc::gen::inRange<std::size_t>(0, 40);
+    const std::string_view prefix = utf8_prefix(text, max_bytes);
+    RC_ASSERT(is_utf8(text));
+    RC_ASSERT(is_utf8(prefix));
+    RC_ASSERT(prefix.size() <= max_bytes);
+    RC_ASSERT(text.rfind(prefix, 0) == 0u);
+    constexpr std::size_t kLongestCharacter = 4;
+    RC_ASSERT(prefix.size() == text.size() || prefix.size() + kLongestCharacter > max_bytes);
+  });
+  CHECK(utf8_prefix("a\xc3\xa9", 2) == "a");
+  CHECK_FALSE(is_utf8("\xc3"));
+  CHECK_FALSE(is_utf8("\xc0\xaf"));
+  CHECK_FALSE(is_utf8("\xed\xa0\x80"));
+  CHECK_FALSE(is_utf8("\xf4\x90\x80\x80"));
+}
--- a/tests/edge/story_test.cpp
+++ b/tests/edge/story_test.cpp
@@ -56,6 +56,34 @@
   return site.run_counts->empty() ? "" : site.run_counts->rbegin()->first;
 }
 
+// Sends bytes on a connection of their own, and returns what comes until a header ends or the connection
+// does.
+std::string send_raw(Site& site, const std::string& bytes) {
+  tcp::socket socket(site.io);
+  socket.connect(site.server->edge_endpoint());
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  socket.non_blocking(true);
+  std::string in;
+  bool ended = false;
+  CHECK(site.run_until(
+      [&] {
+        char part[4096];
+        boost::system::error_code error;
+        const std::size_t count = socket.read_some(boost::asio::buffer(part), error);
+        in.append(part, error ? 0 : count);
+        ended = error && error != boost::asio::error::would_block;
+        return ended || in.find("\r\n\r\n") != std::string::npos;
+      },
+      std::chrono::seconds(15)));
+  return in;
+}
+
+std::string post(Site& site, const std::string& path, const std::string& body,
+                 const std::string& type = "application/json") {
+  return send_raw(site, "POST " + path + " HTTP/1.1\r\nHost: e\r\nContent-Type: " + type +
+                            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
 }  // namespace
 
 TEST_CASE("edge: a request over each front is answered once, and its rows arrive byte for byte") {
@@ -435,43 +463,21 @@
   DeviceFixture healthy(site, "good");
   healthy.client.connect();
   REQUIRE(site.run_until([&] { return healthy.device.welcomed(); }));
-  const auto send_raw = [&](const std::string& bytes) {
-    tcp::socket socket(site.io);
-    socket.connect(site.server->edge_endpoint());
-    boost::asio::write(socket, boost::asio::buffer(bytes));
-    socket.non_blocking(true);
-    std::string in;
-    bool ended = false;
-    CHECK(site.run_until(
-        [&] {
-          char part[4096];
-          boost::system::error_code error;
-          const std::size_t count = socket.read_some(boost::asio::buffer(part), error);
-          in.append(part, error ? 0 : count);
-          ended = error && error != boost::asio::error::would_block;
-          return ended || in.find("\r\n\r\n") != std::string::npos;
-        },
-        std::chrono::seconds(15)));
-    return in;
-  };
-  const auto post = [&](const std::string& path, const std::string& body,
-                        const std::string& type = "application/json") {
-    return send_raw("POST " + path + " HTTP/1.1\r\nHost: e\r\nContent-Type: " + type +
-                    "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  };
   // Nothing follows the start of this header, so the request times out.
-  CHECK(send_raw("POST /edge/poll HTTP/1.1\r\nX: ").empty());
-  CHECK(send_raw("GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x')).find("431") != std::string::npos);
-  CHECK(send_raw("POST /edge/poll HTTP/1.1\r\nHost: e\r\nContent-Length: 99999999\r\n\r\n").find("413") !=
+  CHECK(send_raw(site, "POST /edge/poll HTTP/1.1\r\nX: ").empty());
+  CHECK(send_raw(site, "GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x')).find("431") != std::string::npos);
+  CHECK(
+      send_raw(site, "POST /edge/poll HTTP/1.1\r\nHost: e\r\nContent-Length: 99999999\r\n\r\n").find("413") !=
+      std::string::npos);
+  CHECK(send_raw(site, "nonsense\r\n\r\n").empty());
+  CHECK(send_raw(site, "GET /edge/poll HTTP/1.1\r\nHost: e\r\n\r\n").find("405") != std::string::npos);
+  CHECK(post(site, "/edge/open", std::string(100'000, '[')).find("400") != std::string::npos);
+  CHECK(post(site, "/edge/open", std::string(100'000, '\x81'), "application/cbor").find("400") !=
         std::string::npos);
-  CHECK(send_raw("nonsense\r\n\r\n").empty());
-  CHECK(send_raw("GET /edge/poll HTTP/1.1\r\nHost: e\r\n\r\n").find("405") != std::string::npos);
-  CHECK(post("/edge/open", std::string(100'000, '[')).find("400") != std::string::npos);
-  CHECK(post("/edge/open", std::string(100'000, '\x81'), "application/cbor").find("400") !=
+  CHECK(post(site, "/edge/open", "{}").find("hello-first") != std::string::npos);
+  CHECK(post(site, "/edge/poll", "{\"link\":\"00\"}").find("410") != std::string::npos);
+  CHECK(post(site, "/edge/open", "{\"frames\":[{\"t\":\"hello\",\"device\":7}]}").find("400") !=
         std::string::npos);
-  CHECK(post("/edge/open", "{}").find("hello-first") != std::string::npos);
-  CHECK(post("/edge/poll", "{\"link\":\"00\"}").find("410") != std::string::npos);
-  CHECK(post("/edge/open", "{\"frames\":[{\"t\":\"hello\",\"device\":7}]}").find("400") != std::string::npos);
   // 20 MiB of blanks, a fraction of that once compressed.
   namespace websocket = boost::beast::websocket;
   websocket::stream<boost::beast::tcp_stream> bomb(site.io);
@@ -542,3 +548,34 @@
   CHECK(total_runs(site) == 48);
   CHECK(load_runs == loads);
 }
+
+// Guards against the end of the process, and of all open requests, when the error text quotes a part of the
+// input that is no UTF-8.
+TEST_CASE("edge: a frame with an unknown word of any characters is refused and ends nothing else") {
+  Site site(site_options());
+  DeviceFixture healthy(site, "good");
+  healthy.client.connect();
+  REQUIRE(site.run_until([&] { return healthy.device.welcomed(); }));
+  healthy.client.send_request("report", "select 1 from a_1.t", 9000);
+  const std::string two = "\xc3\xa9", three = "\xe2\x82\xac", four = "\xf0\x9f\x8e\xb5";
+  for (const std::string& character : {two, three, four}) {
+    for (std::size_t before = 28; before <= 33; ++before) {
+      const std::string word = std::string(before, 'a') + character + "b";
+      INFO("word " << word);
+      CHECK(post(site, "/edge/open", R"({"frames":[{"t":")" + word + R"("}]})").find("400") !=
+            std::string::npos);
+      CHECK(post(site, "/edge/open",
+                 R"({"frames":[{"t":"msg","seq":1,"have":0,"body":{"k":")" + word + R"("}}]})")
+                .find("400") != std::string::npos);
+    }
+  }
+  // CBOR readers take text that is no UTF-8: {"frames": [{"t": "\xff"}]}.
+  CHECK(post(site, "/edge/open",
+             "\xa1\x66"
+             "frames\x81\xa1\x61"
+             "t\x61\xff",
+             "application/cbor")
+            .find("400") != std::string::npos);
+  REQUIRE(site.run_until([&] { return healthy.device.idle(); }));
+  CHECK(healthy.client.connect_count() == 1);
+}
