--- a/src/edge/logic/edge_logic.cpp
+++ b/src/edge/logic/edge_logic.cpp
@@ -677,14 +677,16 @@
     return send_pending(session, now, out);
   }
   const bool first_fetch = !next->size_known;
-  if (!rows.text) {
+  // Messages behind this one may have been sent already, and begin with the row after those it had first.
+  const bool rows_differ = !first_fetch && rows.row_count != next->body.row_count;
+  if (!rows.text || rows_differ) {
     // The result has expired, or the disk has lost it. The rows that the device already has are valid.
     release_in_flight(session, *next);
     next->body.code = "rows-gone";
     next->body.last = true;
     next->size_known = true;
-    if (first_fetch && !session.deliveries.empty() && session.deliveries.front().request == rows.request)
-      session.deliveries.erase(session.deliveries.begin());
+    std::erase_if(session.deliveries,
+                  [&](const Delivery& delivery) { return delivery.request == rows.request; });
     return send_pending(session, now, out);
   }
   const auto size = static_cast<std::uint32_t>(rows.text->size());
--- a/src/spool/logic/page_index.h
+++ b/src/spool/logic/page_index.h
@@ -65,6 +65,16 @@
     return std::max(page + 1, static_cast<std::size_t>(at - byte_starts_.begin()) - 1);
   }
 
+  // The end (exclusive) of the pages that hold the bytes of a window which begins with any row of `page`; at
+  // least one page. The last of them may be needed in part only.
+  std::size_t row_window_end(std::size_t page, std::uint64_t window) const {
+    if (page + 1 >= page_count()) return page + 1;
+    const std::uint64_t until = byte_starts_[page + 1] + window;
+    const auto at = std::lower_bound(byte_starts_.begin() + static_cast<std::ptrdiff_t>(page + 1),
+                                     byte_starts_.end(), until);
+    return std::min(page_count(), static_cast<std::size_t>(at - byte_starts_.begin()));
+  }
+
  private:
   std::vector<std::uint64_t> row_starts_{0}, byte_starts_{0};
 };
--- a/src/spool/logic/spool_logic.cpp
+++ b/src/spool/logic/spool_logic.cpp
@@ -226,7 +226,9 @@
   }
   renew_lease(grant.id, result, now);
   grant.first_page = result.index.row_count() == 0 ? 0 : result.index.page_of(row);
-  grant.end_page = result.index.window_end(grant.first_page, window);
+  // The window is counted from the row, so that the same row and just the bytes of an earlier window give
+  // that window again.
+  grant.end_page = result.index.row_window_end(grant.first_page, window);
   grant.first_row = row;
   return grant;
 }
--- a/tests/edge/logic_test.cpp
+++ b/tests/edge/logic_test.cpp
@@ -434,6 +434,67 @@
   CHECK(incarnation_ignored > 0);
 }
 
+// Guards against a message that is sent again with fewer rows: the next message would begin behind those that
+// were there first, and the device would never know.
+TEST_CASE("edge: rows that come back different for a resend end the answer openly, and never silently") {
+  EdgeSettings settings;
+  settings.at_most_once = {{"report", false}};
+  settings.admission.rate_per_second = settings.admission.burst = 1e6;
+  EdgeLogic logic(settings, TokenSigner({}), {1}, 7, Micros{0}, 0);
+  std::vector<EdgeAction> actions;
+  constexpr ConnId kConn = 1;
+  constexpr std::uint64_t kRow = 100, kRows = 480, kFirstRows = 40;
+  const auto last_of = [&]<typename Action>(Action none) {
+    for (const EdgeAction& action : actions)
+      if (const auto* one = std::get_if<Action>(&action)) none = *one;
+    return none;
+  };
+  // Answers the fetch that is under way with so many rows.
+  const auto give_rows = [&](std::uint64_t count) {
+    const FetchRows fetch = last_of(FetchRows{});
+    REQUIRE(fetch.request != 0);
+    actions.clear();
+    logic.on_rows({fetch.session, fetch.request, fetch.first_row, count,
+                   std::make_shared<const std::string>(count * kRow, 'r'), fetch.first_row + count == kRows},
+                  Micros{0}, actions);
+  };
+  logic.on_open(kConn, Micros{0});
+  Frame hello;
+  hello.type = Frame::Type::kHello;
+  hello.device = "tablet";
+  logic.on_frame(kConn, hello, Micros{0}, actions);
+  Frame ask;
+  ask.type = Frame::Type::kMessage;
+  ask.seq = ask.next_expected = 1;
+  ask.body.kind = Body::Kind::kRequest;
+  ask.body.key = ask.body.first_incarnation = 1;
+  ask.body.verb = "report";
+  ask.body.statement = "select 1";
+  logic.on_frame(kConn, ask, Micros{0}, actions);
+  const RequestId request = last_of(SubmitRequest{}).request;
+  logic.on_outcome(request, {Outcome::Status::kServed, false, Micros{0}, request, kRows, kRows * kRow},
+                   Micros{0}, actions);
+  give_rows(kFirstRows);
+  const Frame first = last_of(SendFrame{}).frame;
+  REQUIRE(first.body.row_count == kFirstRows);
+  // The response with these rows is lost, while the next rows are being fetched.
+  const auto poll_again = [&] {
+    logic.on_poll(kConn, first.seq, Micros{0}, actions);
+    give_rows(kFirstRows);
+  };
+  poll_again();
+  CHECK(last_of(FetchRows{}).first_row == first.body.first_row);
+  CHECK(last_of(FetchRows{}).page_bytes == kFirstRows * kRow);
+  give_rows(kFirstRows);
+  CHECK(last_of(SendFrame{}).frame.body.row_count == kFirstRows);
+  CHECK(last_of(SendFrame{}).frame.body.code.empty());
+  poll_again();
+  give_rows(kFirstRows / 2);
+  CHECK(last_of(SendFrame{}).frame.seq == first.seq);
+  CHECK(last_of(SendFrame{}).frame.body.code == "rows-gone");
+  CHECK(last_of(SendFrame{}).frame.body.last);
+}
+
 // Guards against unbounded buffering of rows for devices that do not read them.
 TEST_CASE(
     "edge: a thousand slow devices with 10 MB of rows each stay within the memory limit, and all progress") {
--- a/tests/spool/logic_test.cpp
+++ b/tests/spool/logic_test.cpp
@@ -281,6 +281,11 @@
     std::size_t end = from + 1;
     while (end < pages.size() && index.bytes_before(end + 1) - index.bytes_before(from) <= window) ++end;
     RC_ASSERT(index.window_end(from, window) == end);
+    // Whatever row of the page a window begins with, its bytes lie in these pages.
+    const std::size_t until = index.row_window_end(from, window);
+    RC_ASSERT(from < until && until <= pages.size());
+    RC_ASSERT(until == pages.size() || index.bytes_before(until) - index.bytes_before(from + 1) >= window);
+    RC_ASSERT(until == from + 1 || index.bytes_before(until - 1) - index.bytes_before(from + 1) < window);
   });
 }
 
--- a/tests/spool/story_test.cpp
+++ b/tests/spool/story_test.cpp
@@ -124,6 +124,29 @@
   CHECK(page.at("row") == "2940");
 }
 
+// Guards against rows that are missing when a reader, or the edge after a lost link, fetches a window again.
+TEST_CASE("spool: a window holds as many rows as fit, and fetched again with just its bytes it is the same") {
+  constexpr std::uint64_t kRows = 3000, kRowBytes = 100, kMaxWindow = 65536;
+  Site site(long_report_options());
+  const auto reader = site.reader();
+  const Reply opened = submit(site, *reader, kId);
+  for (const std::uint64_t row : {0, 1, 40, 59, 60, 61, 119, 1500, 2921, 2998}) {
+    for (const std::uint64_t window : {1, 100, 4000, 5999, 6000, 6001, 12000, 20000, 65536}) {
+      INFO("row " << row << ", window " << window);
+      const auto fetch = [&](std::uint64_t bytes) {
+        return call_and_wait(site, *reader, "fetch",
+                             from_row(opened.at("handle"), row, std::to_string(bytes)));
+      };
+      const Reply first = fetch(window);
+      const std::uint64_t fitting = std::max<std::uint64_t>(1, std::min(window, kMaxWindow) / kRowBytes);
+      CHECK(std::stoull(first.at("got")) == std::min(kRows - row, fitting));
+      const Reply again = fetch(first.body.size());
+      CHECK(again.body == first.body);
+      CHECK(again.at("last") == first.at("last"));
+    }
+  }
+}
+
 // Guards against mixing the rows of two attempts in one result, and against running a load twice because its
 // pages were lost.
 TEST_CASE("spool: an engine dies when half of the pages are spooled") {
