Show that a late connection sends a repeat by key after its window

The window of a class that engines deduplicate by key is looked at when an attempt is decided on; the command then waits for its connection. Nothing is fixed.

--- /dev/null
+++ b/review/standin-2/cases.cpp
@@ -0,0 +1,152 @@
+// The cases 6 to 10: `cases NAME FOLDER` plays one and writes FOLDER/record.txt. Exit: 0 the rule held, 1 it
+// was broken, 2 the case could not run. TROUBLE=0 in the environment leaves the disruption out.
+#include <iostream>
+#include <set>
+
+#include "rig.h"
+
+namespace {
+
+using namespace rig;
+
+bool trouble = true;
+std::string temp;  // a folder of this run's own
+
+int held(const char* what) {
+  record.line("HELD: %s", what);
+  std::cout << "held: " << what << "\n";
+  return 0;
+}
+int broken(const std::string& what) {
+  record.line("BROKEN: %s", what.c_str());
+  std::cout << "broken: " << what << "\n";
+  return 1;
+}
+
+void note_reply(const char* who, const std::string& txn, const std::optional<Reply>& reply) {
+  record.line("%s: %s: %s%s%s", who, txn.c_str(), reply ? reply->verdict() : "no answer",
+              reply && !reply->at("code").empty() ? ", code " : "", reply ? reply->at("code").c_str() : "");
+}
+
+// Rows of a result: three columns, pages of at most 6,000 bytes.
+std::vector<std::string> make_pages(const std::string& id, int rows) {
+  std::vector<std::string> pages(1);
+  for (int row = 0; row < rows; ++row) {
+    const std::string line = id + "\t" + std::to_string(row) + "\t" + std::string(40, 'x') + "\n";
+    if (pages.back().size() + line.size() > 6000) pages.emplace_back();
+    pages.back() += line;
+  }
+  return pages;
+}
+std::string joined(const std::vector<std::string>& pages) {
+  std::string all;
+  for (const std::string& page : pages) all += page;
+  return all;
+}
+
+// ---- A class that engines deduplicate by key: the repeat goes out after the window ----
+
+int window() {
+  constexpr int kWindowMs = 3000, kSlackMs = 50, kRunMs = 2500;
+  json settings = small_deployment();
+  settings["profiles"][1]["effect"] = "by_key";
+  settings["profiles"][1]["dedup_window_us"] = kWindowMs * 1000;
+  settings["limits"]["connect_timeout_us"] = 2000000;
+  Directory directory;
+  // What the engines' store of keys does: a repeat within the window is dropped, a later one is applied
+  // again.
+  std::mutex mutex;
+  std::map<std::string, int> first_ms;
+  std::map<std::string, std::vector<int>> applied_ms;
+  const auto apply = [&](const Run& run) {
+    const std::lock_guard lock(mutex);
+    const auto [at, is_new] = first_ms.try_emplace(run.id, run.begun_ms);
+    if (!is_new && run.begun_ms <= at->second + kWindowMs)
+      return record.line("engine %d: %s: a repeat within the window, dropped", run.engine, run.id.c_str());
+    applied_ms[run.id].push_back(run.begun_ms);
+    record.line("engine %d: %s: applied", run.engine, run.id.c_str());
+  };
+  // The first engine takes the query, applies it and ends it with an error.
+  Engine first(0, [&](const Run& run) {
+    if (run.lane == "report") apply(run);
+    Plan plan;
+    if (run.lane == "report") plan.run_ms = kRunMs, plan.end = Plan::End::kError;
+    return plan;
+  });
+  // The second one answers. Its system has room for one connection that is not accepted yet.
+  Engine second(
+      1,
+      [&](const Run& run) {
+        apply(run);
+        return Plan{};
+      },
+      0);
+  first.start();
+  directory.tell(json::array({first.row()}));
+  Coordinator coordinator(temp, directory, settings);
+  coordinator.start();
+  coordinator.wait_until_ready();
+  Client client;
+  if (!client.connect(coordinator.port())) throw CannotRun{"no connection"};
+  const std::string txn = new_txn();
+  client.call("execute", 1, request(txn, "report", 12000, 2000), "update lessons_3.hours set h = h + 1");
+  for (int tries = 0; runs.of(txn).empty(); ++tries) {
+    if (tries > 200) throw CannotRun{"the first engine never got the query"};
+    sleep_ms(10);
+  }
+  const int sent = runs.of(txn)[0].begun_ms;
+  sleep_until_ms(sent + 500);
+  directory.tell(json::array({second.row()}));
+  Socket filler;
+  if (trouble) {
+    // Takes that room, until 300 ms after the first attempt has ended: the system then drops the
+    // coordinator's first packet, and the connection comes up with the next one, a second later.
+    filler.connect(second.port());
+    sleep_until_ms(sent + kRunMs + 300);
+  }
+  second.start();
+  const auto reply = client.reply(10000);
+  note_reply("client", txn, reply);
+  const std::vector<Run> attempts = runs.of(txn);
+  for (std::size_t i = 1; i < attempts.size(); ++i)
+    if (attempts[i].begun_ms > sent + kWindowMs + kSlackMs)
+      return broken("attempt " + std::to_string(i) + " reached its engine " +
+                    std::to_string(attempts[i].begun_ms - sent) + " ms after the first one, the window is " +
+                    std::to_string(kWindowMs) + " ms; applied " + std::to_string(applied_ms[txn].size()) +
+                    " times");
+  if (!trouble && attempts.size() != 2) throw CannotRun{"there was no second attempt"};
+  return held("no attempt after the window");
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  static const std::map<std::string, int (*)()> cases = {{"window", window}};
+  if (count != 3 || !cases.contains(words[1])) return std::cerr << "usage: cases NAME FOLDER\n", 2;
+  ::signal(SIGPIPE, SIG_IGN);
+  ::alarm(118);
+  const char* wanted = std::getenv("TROUBLE");
+  trouble = wanted == nullptr || std::string(wanted) != "0";
+  record.open(std::string(words[2]) + "/record.txt");
+  std::string name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+  if (::mkdtemp(name.data()) == nullptr) return std::cerr << "no temporary folder\n", 2;
+  temp = name;
+  int result = 2;
+  try {
+    result = cases.at(words[1])();
+  } catch (const CannotRun& reason) {
+    record.line("CANNOT RUN: %s", reason.why.c_str());
+    std::cout << "cannot run: " << reason.why << "\n";
+  } catch (const std::exception& reason) {
+    record.line("CANNOT RUN: %s", reason.what());
+    std::cout << "cannot run: " << reason.what() << "\n";
+  }
+  if (std::getenv("KEEP") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(temp, ignored);
+  } else {
+    std::cout << temp << "\n";
+  }
+  std::cout.flush();
+  ::_exit(result);  // the stand-ins' threads end with the process
+}
