Show that a planned restart loses whole results while another request runs

With a spool, whole results go to its disk only once every open request is answered. A load that outlasts SIGKILL, 3.7 s after SIGTERM, costs all results that lie in memory: a reader who comes back within its give-up time hears `unknown`. Nothing is fixed.

--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -118,10 +118,96 @@
   return held("no attempt after the window");
 }
 
+// ---- A planned restart while one query runs: whole results are not taken over to the next process ----
+
+std::string spool_conf(int port) {
+  std::filesystem::create_directories(temp + "/tmp");  // $TMPDIR, which is kept
+  return "spool {\n  listen 127.0.0.1:" + std::to_string(port) + "\n  memory 32m\n  disk " + temp +
+         "/tmp/spool 256m\n  result-most 1m\n  lease 30s\n}\n";
+}
+
+// Fetches the rest of a result. Empty if it is refused; `why` is then the code.
+std::string fetch_from(Client& reader, int& call, const std::string& handle, std::uint64_t row,
+                       std::string& why) {
+  std::string all;
+  for (;;) {
+    reader.call(
+        "fetch", ++call,
+        {{"handle", handle}, {"team", "vlaanderen"}, {"row", std::to_string(row)}, {"window", "32768"}});
+    const auto part = reader.reply(5000);
+    if (!part || part->field != 0) return why = part ? part->at("code") : "no answer", std::string();
+    all += part->body;
+    row += std::stoull(part->at("got"));
+    if (part->at("last") == "1") return all;
+  }
+}
+
+int restart() {
+  constexpr int kLimitMs = 15000, kKillMs = 3700;
+  Directory directory;
+  const int readers = free_port();
+  const std::string report = new_txn();
+  const std::vector<std::string> pages = make_pages(report, 2000);
+  Engine engine(0, [&](const Run& run) {
+    Plan plan;
+    if (run.lane == "load") plan.run_ms = 8000;
+    if (run.id == report) plan.pages = pages;
+    return plan;
+  });
+  engine.start();
+  directory.tell(json::array({engine.row()}));
+  Coordinator coordinator(temp, directory, small_deployment(), spool_conf(readers));
+  const pid_t process = coordinator.start();
+  coordinator.wait_until_ready();
+  Client client, reader;
+  if (!client.connect(coordinator.port()) || !reader.connect(readers)) throw CannotRun{"no connection"};
+  client.call("execute", 1, request(new_txn(), "load", 25000, 8000),
+              "insert into payments_4.rows values (1)");
+  int call = 1;
+  const int submitted = now_ms();
+  reader.call("submit", call, request(report, "report", kLimitMs, 2000), "select * from lessons_3.hours");
+  const auto opened = reader.reply(5000);
+  note_reply("reader", report, opened);
+  if (!opened || opened->field != 0 || opened->at("handle").empty() || opened->at("last") == "1")
+    throw CannotRun{"the report has no handle"};
+  record.line("reader: has %s of %s rows, by a handle", opened->at("got").c_str(),
+              opened->at("rows").c_str());
+  reader.close();  // a client that drops and comes back
+  sleep_ms(500);
+  if (trouble) {
+    Coordinator::send_signal(process, SIGTERM);
+    if (!coordinator.wait_for_end(process, kKillMs)) {
+      Coordinator::send_signal(process, SIGKILL);
+      coordinator.wait_for_end(process, 2000);
+    }
+    coordinator.start();
+    coordinator.wait_until_ready();
+  } else {
+    sleep_ms(kKillMs + 500);
+  }
+  if (!reader.connect(readers)) throw CannotRun{"the spool takes no connection"};
+  reader.call("resume", ++call, {{"txn", report}, {"team", "vlaanderen"}});
+  const auto resumed = reader.reply(5000);
+  note_reply("reader", report, resumed);
+  const int back = now_ms() - submitted;
+  if (back > kLimitMs - 1000) throw CannotRun{"the reader came back too late"};
+  if (!resumed || resumed->field != 0)
+    return broken("a client that came back " + std::to_string(back) +
+                  " ms after its request, within its give-up time of 15000 ms, has lost its result: code " +
+                  (resumed ? resumed->at("code") : "none"));
+  std::string why;
+  std::string all = resumed->body;
+  if (resumed->at("last") != "1")
+    all += fetch_from(reader, call, resumed->at("handle"), std::stoull(resumed->at("got")), why);
+  if (all != joined(pages)) return broken("the rows differ from those of the engine, " + why);
+  if (runs.of(report).size() != 1) return broken("the query ran again");
+  return held("the client has all its rows, and the query ran once");
+}
+
 }  // namespace
 
 int main(int count, char** words) {
-  static const std::map<std::string, int (*)()> cases = {{"window", window}};
+  static const std::map<std::string, int (*)()> cases = {{"window", window}, {"restart", restart}};
   if (count != 3 || !cases.contains(words[1])) return std::cerr << "usage: cases NAME FOLDER\n", 2;
   ::signal(SIGPIPE, SIG_IGN);
   ::alarm(118);
