Show that requests taken back at once fill the engines for good

Where a request and its interrupt arrive in one turn of the loop, the coordinator forgets the request before the gateway's send is carried out, and the gateway waits for an end that never comes. 20 bad clients of 300 such requests, one a second: from then on every request of usual clients is refused, with six idle engines, until a restart. Nothing is fixed.

--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -204,10 +204,82 @@
   return held("the client has all its rows, and the query ran once");
 }
 
+// ---- Requests that are taken back at once: their places at the engines are never given back ----
+
+int taken_back() {
+  Directory directory;
+  std::vector<std::unique_ptr<Engine>> engines;
+  json rows = json::array();
+  for (int i = 0; i < 6; ++i) {
+    engines.push_back(std::make_unique<Engine>(i, [](const Run& run) {
+      Plan plan;
+      plan.run_ms = run.lane == "lookup" ? 150 : 2000;
+      return plan;
+    }));
+    engines.back()->start();
+    rows.push_back(engines.back()->row());
+  }
+  directory.tell(rows);
+  Coordinator coordinator(temp, directory, small_deployment());
+  coordinator.start();
+  coordinator.wait_until_ready();
+  // Usual clients: one lookup after another, for so long.
+  const auto usual = [&](int for_ms) {
+    std::pair<int, int> served{0, 0};
+    Client client;
+    if (!client.connect(coordinator.port())) throw CannotRun{"no connection"};
+    int call = 0;
+    for (const int until = now_ms() + for_ms; now_ms() < until; sleep_ms(100)) {
+      const std::string txn = new_txn();
+      client.call("execute", ++call, request(txn, "lookup", 4000, 150), "select a from pupils_3.list");
+      const auto reply = client.reply(5000);
+      note_reply("usual client", txn, reply);
+      ++served.second;
+      if (reply && reply->field == 0) ++served.first;
+    }
+    return served;
+  };
+  const auto before = usual(3000);
+  record.line("usual clients before: %d of %d served", before.first, before.second);
+  if (before.first != before.second) throw CannotRun{"not even the calm start is served"};
+  // One bad client: hundreds of requests that are taken back at once, each with its interrupt right behind
+  // it.
+  const auto bad_client = [&] {
+    Client client;
+    if (!client.connect(coordinator.port())) throw CannotRun{"no connection"};
+    std::string out;
+    for (int call = 1; call <= 600; call += 2) {
+      const bool report = call <= 200;
+      out += call_frame("execute", call,
+                        request(new_txn(), report ? "report" : "lookup", report ? 15000 : 4000,
+                                report ? 4000 : 100, call % 4 == 1 ? "vlaanderen" : "wallonie"),
+                        "select b from lessons_3.hours");
+      out += interrupt_frame(call + 1, call);
+    }
+    client.write(out);
+    while (client.reply(300)) {
+    }  // it reads what it is sent
+    record.line("bad client: 300 requests sent and taken back");
+  };
+  for (int round = 0; round < 20; ++round) {
+    if (trouble) bad_client();
+    sleep_ms(700);
+  }
+  sleep_ms(30000);  // longer than any request lives
+  const auto after = usual(30000);
+  record.line("usual clients, from 30 s after the last bad one on: %d of %d served", after.first,
+              after.second);
+  if (after.first * 5 < after.second)
+    return broken("with idle engines and no bad client for 30 s, " + std::to_string(after.first) + " of " +
+                  std::to_string(after.second) + " requests of usual clients were served in 30 s");
+  return held("usual clients are served");
+}
+
 }  // namespace
 
 int main(int count, char** words) {
-  static const std::map<std::string, int (*)()> cases = {{"window", window}, {"restart", restart}};
+  static const std::map<std::string, int (*)()> cases = {
+      {"window", window}, {"restart", restart}, {"taken-back", taken_back}};
   if (count != 3 || !cases.contains(words[1])) return std::cerr << "usage: cases NAME FOLDER\n", 2;
   ::signal(SIGPIPE, SIG_IGN);
   ::alarm(118);
