Show that a full spool gives the result of an absent client to nobody

A result that finds the spool full is to be answered whole at once. If its client is away just then, it is dropped, and the client that comes back within its give-up time hears that it was answered. Nothing is fixed.

--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -204,6 +204,71 @@
   return held("the client has all its rows, and the query ran once");
 }
 
+// ---- The spool is full: the result of a client that drops and comes back goes to nobody ----
+
+int full() {
+  constexpr int kLimitMs = 15000, kRunMs = 2000;
+  Directory directory;
+  const int readers = free_port();
+  const std::string wanted = new_txn();
+  const std::vector<std::string> pages = make_pages(wanted, 500);
+  Engine engine(0, [&](const Run& run) {
+    Plan plan;
+    plan.pages = make_pages(run.id, 700);
+    if (run.id == wanted) plan.pages = pages, plan.run_ms = kRunMs;
+    return plan;
+  });
+  engine.start();
+  directory.tell(json::array({engine.row()}));
+  const std::string conf = "spool {\n  listen 127.0.0.1:" + std::to_string(readers) +
+                           "\n  memory 1m\n  result-most 48000\n  lease 30s\n}\n";
+  Coordinator coordinator(temp, directory, small_deployment(), conf);
+  coordinator.start();
+  coordinator.wait_until_ready();
+  // Slow readers: their results lie in the spool until it has no room. The last one is answered whole.
+  Client slow;
+  if (!slow.connect(readers)) throw CannotRun{"no connection"};
+  int kept = 0;
+  for (int call = 1;; ++call) {
+    const std::string txn = new_txn();
+    slow.call("submit", call, request(txn, "report", kLimitMs, 200), "select * from lessons_3.hours");
+    const auto reply = slow.reply(5000);
+    note_reply("slow reader", txn, reply);
+    if (!reply || reply->field != 0 || call > 60) throw CannotRun{"the spool does not fill up"};
+    if (reply->at("handle").empty()) break;
+    ++kept;
+  }
+  record.line("the spool is full with %d results", kept);
+  Client reader;
+  int call = 1;
+  if (!reader.connect(readers)) throw CannotRun{"no connection"};
+  const int submitted = now_ms();
+  reader.call("submit", call, request(wanted, "report", kLimitMs, 2000), "select * from lessons_3.hours");
+  std::optional<Reply> reply;
+  if (trouble) {
+    sleep_ms(500);
+    reader.close();
+    record.line("reader: its connection drops");
+    sleep_until_ms(submitted + kRunMs + 1000);
+    if (!reader.connect(readers)) throw CannotRun{"no connection"};
+    record.line("reader: comes back after %d ms", now_ms() - submitted);
+    reader.call("resume", ++call, {{"txn", wanted}, {"team", "vlaanderen"}});
+  }
+  reply = reader.reply(8000);
+  note_reply("reader", wanted, reply);
+  const int back = now_ms() - submitted;
+  if (!reply || reply->field != 0)
+    return broken("a client that came back within its give-up time of 15000 ms, after " +
+                  std::to_string(back) + " ms, has lost its result: code " +
+                  (reply ? reply->at("code") : "none"));
+  std::string why, all = reply->body;
+  if (reply->at("last") != "1")
+    all += fetch_from(reader, call, reply->at("handle"), std::stoull(reply->at("got")), why);
+  if (all != joined(pages)) return broken("the rows differ from those of the engine, " + why);
+  if (runs.of(wanted).size() != 1) return broken("the query ran again");
+  return held("the client has all its rows, and the query ran once");
+}
+
 // ---- Requests that are taken back at once: their places at the engines are never given back ----
 
 int taken_back() {
@@ -279,7 +344,7 @@
 
 int main(int count, char** words) {
   static const std::map<std::string, int (*)()> cases = {
-      {"window", window}, {"restart", restart}, {"taken-back", taken_back}};
+      {"window", window}, {"restart", restart}, {"full", full}, {"taken-back", taken_back}};
   if (count != 3 || !cases.contains(words[1])) return std::cerr << "usage: cases NAME FOLDER\n", 2;
   ::signal(SIGPIPE, SIG_IGN);
   ::alarm(118);
