Show that a second process removes the spool files of the one that serves

The spool's folder is opened and tidied before any address is taken. A second process that is started beside the one that serves ends at once, but has removed the segment into which the first one goes on writing: the next result is answered as served and then lost. Nothing is fixed.

--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -269,6 +269,66 @@
   return held("the client has all its rows, and the query ran once");
 }
 
+// ---- A second process is started while the first one serves: it removes the first one's files ----
+
+int twin() {
+  Directory directory;
+  const int readers = free_port();
+  std::map<std::string, std::vector<std::string>> pages;
+  const std::string small = new_txn(), report = new_txn();
+  pages[small] = make_pages(small, 150);
+  pages[report] = make_pages(report, 2000);
+  Engine engine(0, [&](const Run& run) {
+    Plan plan;
+    if (pages.contains(run.id)) plan.pages = pages[run.id];
+    return plan;
+  });
+  engine.start();
+  directory.tell(json::array({engine.row()}));
+  std::string conf = spool_conf(readers);
+  conf.insert(conf.rfind('}'), "  disk-above 2k\n");
+  Coordinator coordinator(temp, directory, small_deployment(), conf);
+  coordinator.start();
+  coordinator.wait_until_ready();
+  Client reader;
+  if (!reader.connect(readers)) throw CannotRun{"no connection"};
+  int call = 0;
+  const auto submit = [&](const std::string& txn) {
+    reader.call("submit", ++call, request(txn, "report", 15000, 2000), "select * from lessons_3.hours");
+    const auto opened = reader.reply(5000);
+    note_reply("reader", txn, opened);
+    if (!opened || opened->field != 0 || opened->at("handle").empty()) throw CannotRun{"no handle"};
+    return *opened;
+  };
+  // A first result, read and acknowledged to its end.
+  const Reply first = submit(small);
+  std::string why;
+  std::string all = first.body;
+  if (first.at("last") != "1")
+    all += fetch_from(reader, call, first.at("handle"), std::stoull(first.at("got")), why);
+  reader.call("acknowledge", ++call,
+              {{"handle", first.at("handle")}, {"team", "vlaanderen"}, {"rows", first.at("rows")}});
+  const auto acknowledged = reader.reply(5000);
+  note_reply("reader", "acknowledge", acknowledged);
+  if (all != joined(pages[small])) throw CannotRun{"the first result cannot be read: " + why};
+  sleep_ms(300);
+  if (trouble) {
+    const pid_t second = coordinator.start();
+    if (!coordinator.wait_for_end(second, 2000)) record.line("platform: both processes run");
+  } else {
+    sleep_ms(500);
+  }
+  // The next result, of the process that serves.
+  const Reply opened = submit(report);
+  sleep_ms(500);
+  all = opened.body;
+  all += fetch_from(reader, call, opened.at("handle"), std::stoull(opened.at("got")), why);
+  if (!why.empty())
+    return broken("the serving process has lost a whole result that it had answered as served: code " + why);
+  if (all != joined(pages[report])) return broken("the rows differ from those of the engine");
+  return held("the result was read to its end");
+}
+
 // ---- Requests that are taken back at once: their places at the engines are never given back ----
 
 int taken_back() {
@@ -344,7 +404,7 @@
 
 int main(int count, char** words) {
   static const std::map<std::string, int (*)()> cases = {
-      {"window", window}, {"restart", restart}, {"full", full}, {"taken-back", taken_back}};
+      {"window", window}, {"restart", restart}, {"full", full}, {"twin", twin}, {"taken-back", taken_back}};
   if (count != 3 || !cases.contains(words[1])) return std::cerr << "usage: cases NAME FOLDER\n", 2;
   ::signal(SIGPIPE, SIG_IGN);
   ::alarm(118);
