--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 RUN=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 export RUN
 [[ -n $RUN && -x build/steprail && -x review/standin-2/build/cases ]] || exit 2
-exec review/standin-2/build/cases restart "$here"
+exec review/standin-2/build/cases window "$here"
