--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -409,14 +409,10 @@
     }  // it reads what it is sent
     record.line("bad client: 300 requests sent and taken back");
   };
-  for (int round = 0; round < 20; ++round) {
-    if (trouble) bad_client();
-    sleep_ms(700);
-  }
+  if (trouble) bad_client();
   sleep_ms(30000);  // longer than any request lives
   const auto after = usual(30000);
-  record.line("usual clients, from 30 s after the last bad one on: %d of %d served", after.first,
-              after.second);
+  record.line("usual clients, from 30 s after the bad one on: %d of %d served", after.first, after.second);
   if (after.first * 5 < after.second)
     return broken("with idle engines and no bad client for 30 s, " + std::to_string(after.first) + " of " +
                   std::to_string(after.second) + " requests of usual clients were served in 30 s");
