--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -290,12 +290,15 @@
         {
           const std::lock_guard lock(mutex_);
           connections_.push_back(connection);
+          ++accepted_;
         }
         std::thread([this, connection] { serve(connection); }).detach();
       }
     }).detach();
   }
   int port() const { return port_; }
+  // Connections taken so far.
+  int accepted() const { return accepted_; }
   json row(const char* status = "active") const {
     return {{"name", "engine-" + std::to_string(number_)},
             {"address", "127.0.0.1:" + std::to_string(port_)},
@@ -440,6 +443,7 @@
   int port_{0}, fd_;
   std::mutex mutex_;
   std::vector<std::shared_ptr<Connection>> connections_;
+  std::atomic<int> accepted_{0};
 };
 
 // ---- Clients: framed Thrift, strict binary protocol ----
