--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -67,7 +67,7 @@
   for (const KindSettings& kind : settings_.kinds) max_memory = std::max(max_memory, kind.memory_mb);
   if (!(q.memory_mb >= 0 && (max_memory <= 0 || q.memory_mb <= kImplausibleFactor * max_memory)))
     return "estimate of the memory";
-  return q.statement.empty() ? "statement" : nullptr;
+  return q.statement == nullptr || q.statement->empty() ? "statement" : nullptr;
 }
 
 void Coordinator::arrived(Query query) {
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -3,10 +3,12 @@
 // shares the same decisions.
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "base/memory_budget.h"
 #include "steprail/gateway.h"
 
 namespace steprail {
@@ -36,6 +38,21 @@
   virtual void lost(RequestId id, int attempt) = 0;
 };
 
+// What an open request takes besides its statement: its entries in the tables and timers.
+constexpr std::size_t kRequestOverheadBytes = 1024;
+
+// The text of a query. The connections that write it to engines share it, so that it is in memory once. Its
+// charge is returned with the last reference.
+using StatementText = std::shared_ptr<const std::string>;
+inline StatementText share_statement(std::string_view text, MemoryCharge charge = {}) {
+  struct ChargedText {
+    std::string text;
+    MemoryCharge charge;
+  };
+  const auto charged = std::make_shared<ChargedText>(ChargedText{std::string(text), std::move(charge)});
+  return {charged, &charged->text};
+}
+
 struct Query {
   RequestId id{};
   std::string name;        // the id as the client wrote it; sent to engines unchanged
@@ -48,7 +65,7 @@
   bool client_retry{};
   Micros received_at{0};  // when the last byte of the request was read, Unix time
   Micros time_limit{0};   // how long the client waits, counted from received_at
-  std::string statement;
+  StatementText statement;
   ReplyTarget reply_to;
   PageSink* sink{};                // null: the pages come with the answer
   std::size_t max_result_bytes{};  // only used with a sink
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -67,12 +67,14 @@
           metrics.gauge("steprail_edge_ledger_records_total", "Records written in ledger transactions.")) {}
 
 Edge::Edge(Strand strand, Coordinator& coordinator, EventLog& log, Metrics& metrics, const NameTables& tables,
-           spool::Spool& spool, const EdgeConf& conf, std::uint64_t seed, std::unique_ptr<spool::Index> index)
+           spool::Spool& spool, const EdgeConf& conf, std::uint64_t seed,
+           std::shared_ptr<MemoryBudget> request_memory, std::unique_ptr<spool::Index> index)
     : strand_(strand),
       coordinator_(coordinator),
       log_(log),
       tables_(tables),
       spool_(spool),
+      request_memory_(std::move(request_memory)),
       front_index_(coordinator.attach(*this)),
       timer_(strand),
       gauges_(metrics) {
@@ -200,10 +202,13 @@
   query.memory_mb = action.body.mem;
   query.time_limit = Micros{std::clamp<std::int64_t>(action.body.limit_ms, 0, 1'000'000'000) * 1000};
   query.received_at = coordinator_.now();
-  query.statement = action.body.statement;
+  // The logic limits the open requests of each session, so a request has an account of its own.
+  auto charge = std::make_shared<MemoryAccount>(request_memory_)
+                    ->try_charge(action.body.statement.size() + kRequestOverheadBytes);
+  if (charge) query.statement = share_statement(action.body.statement, std::move(*charge));
   query.table_group = table_group(action.body.statement);
   query.reply_to = {action.request, 0, front_index_};
-  if (coordinator_.validation_error(query) != nullptr || coordinator_.has_request(query.id)) {
+  if (!charge || coordinator_.validation_error(query) != nullptr || coordinator_.has_request(query.id)) {
     Outcome outcome;  // refused here: neither the gateway nor an engine sees it
     outcome.status = Outcome::Status::kRefused;
     return report_outcome(action.request, outcome);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -35,7 +35,7 @@
   // place of the folder.
   Edge(Strand strand, Coordinator& coordinator, EventLog& log, Metrics& metrics, const NameTables& tables,
        spool::Spool& spool, const EdgeConf& conf, std::uint64_t seed,
-       std::unique_ptr<spool::Index> index = nullptr);
+       std::shared_ptr<MemoryBudget> request_memory, std::unique_ptr<spool::Index> index = nullptr);
   ~Edge() override;
 
   void reconfigure(const EdgeConf& conf);
@@ -87,6 +87,7 @@
   EventLog& log_;
   const NameTables& tables_;
   spool::Spool& spool_;
+  std::shared_ptr<MemoryBudget> request_memory_;
   int front_index_;  // identifies the edge among the coordinator's fronts
   std::unique_ptr<EdgeLogic> logic_;
   std::unique_ptr<LedgerWriter> ledger_;
--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -41,9 +41,9 @@
   void commit(std::size_t count) { end_ += count; }
   std::size_t capacity() const { return bytes_.size(); }
   // Frees the memory that a long message needed once little is left to parse.
-  void shrink() {
-    constexpr std::size_t kMaxRetainedBytes = 16 << 10, kLittleBytes = 2 * kMinReadBytes;
-    if (bytes_.size() <= kMaxRetainedBytes || end_ - begin_ > kLittleBytes) return;
+  void shrink(std::size_t max_retained_bytes = 16 << 10) {
+    constexpr std::size_t kLittleBytes = 2 * kMinReadBytes;
+    if (bytes_.size() <= max_retained_bytes || end_ - begin_ > kLittleBytes) return;
     std::vector<char> rest(bytes_.begin() + static_cast<std::ptrdiff_t>(begin_),
                            bytes_.begin() + static_cast<std::ptrdiff_t>(end_));
     bytes_ = std::move(rest);
@@ -67,18 +67,21 @@
 
 class OutputQueue {
  public:
-  // A tag other than 0 names a piece that withdraw() can remove as long as none of it has been sent.
+  // A tag other than 0 names the pieces of a message that withdraw() can remove as long as none of it has
+  // been sent. A message's pieces are pushed one after the other.
   void push(std::string piece, std::uint64_t tag = 0) {
     if (piece.empty()) return;
     size_ += piece.size();
+    if (tag == 0 && append_to_last(piece)) return;
     pieces_.push_back({std::move(piece), tag});
   }
   // Bytes with other owners as well; they are written without a copy.
-  void push(std::shared_ptr<const std::string> shared, std::size_t from, std::size_t to) {
+  void push(std::shared_ptr<const std::string> shared, std::size_t from, std::size_t to,
+            std::uint64_t tag = 0) {
     if (from >= to) return;
     size_ += to - from;
     shared_size_ += to - from;
-    pieces_.push_back({Shared{std::move(shared), from, to}, 0});
+    pieces_.push_back({Shared{std::move(shared), from, to}, tag});
   }
   bool empty() const { return pieces_.empty(); }
   std::size_t size() const { return size_; }
@@ -102,10 +105,12 @@
     while (!pieces_.empty() && count >= pieces_.front().view().size()) {
       const Piece& front = pieces_.front();
       count -= front.view().size();
+      started_tag_ = front.tag;
       if (front.shared()) shared_size_ -= front.view().size();
       pieces_.pop_front();
     }
     front_sent_ = count;
+    if (front_sent_ > 0) started_tag_ = pieces_.front().tag;
   }
 
   // True if at least part of the piece is still queued: the peer cannot have received it completely.
@@ -116,15 +121,16 @@
     return false;
   }
 
-  // Removes a piece of which no byte has been sent yet.
+  // Removes a message of which no byte has been sent yet.
   bool withdraw(std::uint64_t tag) {
-    for (auto at = pieces_.begin(); at != pieces_.end(); ++at) {
-      if (at->tag != tag || (at == pieces_.begin() && front_sent_ > 0)) continue;
-      size_ -= at->view().size();
-      pieces_.erase(at);
+    if (tag == started_tag_) return false;
+    const std::size_t removed = std::erase_if(pieces_, [&](const Piece& piece) {
+      if (piece.tag != tag) return false;
+      size_ -= piece.view().size();
+      if (piece.shared()) shared_size_ -= piece.view().size();
       return true;
-    }
-    return false;
+    });
+    return removed > 0;
   }
 
  private:
@@ -142,9 +148,20 @@
       return std::string_view(*part.text).substr(part.from, part.to - part.from);
     }
   };
+  // Many short answers that are not read would otherwise take several times their length.
+  bool append_to_last(const std::string& piece) {
+    constexpr std::size_t kMaxJoinedBytes = 4096;
+    if (pieces_.empty() || pieces_.back().shared() || pieces_.back().tag != 0) return false;
+    std::string& last = std::get<std::string>(pieces_.back().bytes);
+    if (last.size() + piece.size() > kMaxJoinedBytes) return false;
+    last += piece;
+    return true;
+  }
+
   std::deque<Piece> pieces_;
   std::vector<boost::asio::const_buffer> gathered_;
-  std::size_t front_sent_{0};  // bytes of the first piece that have been sent
+  std::size_t front_sent_{0};     // bytes of the first piece that have been sent
+  std::uint64_t started_tag_{0};  // of the message of which a byte was sent last
   std::size_t size_{0}, shared_size_{0};
 };
 
--- a/src/net/engine_line.cpp
+++ b/src/net/engine_line.cpp
@@ -128,12 +128,11 @@
   return page.empty() || page.back() == '\n';
 }
 
-std::string serve_command(const Dispatch& dispatch) {
+std::string serve_command_line(const Dispatch& dispatch) {
   const Query& query = dispatch.query;
   const auto ttl = std::max<std::int64_t>(1, dispatch.attempt_timeout.count() / 1000);
-  std::string command = "serve " + query.name + " lane=" + query.class_name + ",ttl=" + std::to_string(ttl) +
-                        ' ' + std::to_string(query.statement.size()) + "\r\n";
-  return command.append(query.statement).append(kLineEnd);
+  return "serve " + query.name + " lane=" + query.class_name + ",ttl=" + std::to_string(ttl) + ' ' +
+         std::to_string(query.statement->size()) + "\r\n";
 }
 
 }  // namespace steprail
--- a/src/net/engine_line.h
+++ b/src/net/engine_line.h
@@ -38,6 +38,8 @@
 // A row has three columns separated by tabs and ends with a line feed.
 bool has_only_whole_rows(std::string_view page);
 
-std::string serve_command(const Dispatch& dispatch);
+// The line before the statement in the command that starts an attempt, and what follows the statement.
+std::string serve_command_line(const Dispatch& dispatch);
+constexpr std::string_view kCommandEnd = "\r\n";
 
 }  // namespace steprail
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -114,7 +114,9 @@
         LogLevel::kDebug, "queued",
         {{"id", pending.name}, {"attempt", pending.attempt}, {"engine", engine_}, {"connection", number_}});
     in_flight_.emplace(dispatch.query.id, std::move(pending));
-    out_.push(serve_command(dispatch), last_tag_);
+    out_.push(serve_command_line(dispatch), last_tag_);
+    out_.push(dispatch.query.statement, 0, dispatch.query.statement->size(), last_tag_);
+    out_.push(std::string(kCommandEnd), last_tag_);
     schedule_write();
   }
 
--- a/src/net/framed.cpp
+++ b/src/net/framed.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 constexpr std::int64_t kMaxFrameBytes = 256 << 10;
-// Every session may buffer this much; more counts against max_long_frame_bytes.
-constexpr std::size_t kSmallFrameBytes = 32 << 10;
+constexpr std::size_t kMinSmallFrameBytes = 4 << 10, kMaxSmallFrameBytes = 32 << 10;
+// A message's method and call number stand within this many bytes.
+constexpr std::size_t kMaxMessageHeadBytes = 256;
 // Answers that a client does not read: more than 32 of the longest.
 constexpr std::size_t kMaxUnreadPerSession = 2 << 20;
 constexpr std::chrono::milliseconds kAcceptPause{50};
@@ -34,7 +35,11 @@
 #include <boost/asio/yield.hpp>
 
 FramedServer::Session::Session(FramedServer& server, tcp::socket socket, std::uint64_t number)
-    : server_(server), socket_(std::move(socket)), number_(number) {
+    : server_(server),
+      socket_(std::move(socket)),
+      number_(number),
+      account_(std::make_shared<MemoryAccount>(server.request_memory_,
+                                               server.request_memory_->guaranteed_bytes())) {
   last_activity_at_ = server_.coordinator_.now();
 }
 
@@ -63,7 +68,7 @@
         yield reading_suspended_ = true;
         if (!handle_frames()) return;
       }
-      if (partial_frame_bytes_ <= kSmallFrameBytes) in_.shrink();
+      if (partial_frame_bytes_ <= server_.small_frame_bytes()) in_.shrink(server_.small_frame_bytes());
     }
   }
 }
@@ -88,11 +93,11 @@
 }
 
 std::size_t FramedServer::Session::long_frame_bytes() const {
-  return in_.capacity() > kSmallFrameBytes && !discard_requested_ ? in_.capacity() : 0;
+  return in_.capacity() > server_.small_frame_bytes() && !discard_requested_ ? in_.capacity() : 0;
 }
 
 std::size_t FramedServer::Session::missing_frame_bytes() const {
-  if (partial_frame_bytes_ <= std::max(kSmallFrameBytes, in_.capacity())) return 0;
+  if (partial_frame_bytes_ <= std::max(server_.small_frame_bytes(), in_.capacity())) return 0;
   return partial_frame_bytes_ - long_frame_bytes();
 }
 
@@ -190,6 +195,8 @@
 
 bool FramedServer::Session::handle_frames() {
   partial_frame_bytes_ = 0;
+  skip_input();
+  if (bytes_to_skip_ > 0) return true;
   for (;;) {
     if (reading_paused()) return true;
     const std::string_view bytes = in_.view();
@@ -199,7 +206,9 @@
       return close("invalid frame length: none may have a length of zero or beyond the maximum"), false;
     const auto frame_bytes = thrift::kFrameHeaderBytes + static_cast<std::size_t>(length);
     if (bytes.size() < frame_bytes) {
-      partial_frame_bytes_ = frame_bytes;
+      const Admission admission = admit_frame(frame_bytes);
+      if (admission == Admission::kMalformed) return close("frame cannot be read"), false;
+      if (admission == Admission::kAdmitted) partial_frame_bytes_ = frame_bytes;
       return note_partial_frame(true);
     }
     if (!handle_frame(bytes.substr(thrift::kFrameHeaderBytes, static_cast<std::size_t>(length))))
@@ -212,6 +221,38 @@
   }
 }
 
+// A frame whose request would be refused for want of memory is refused before it is read whole.
+FramedServer::Session::Admission FramedServer::Session::admit_frame(std::size_t frame_bytes) {
+  if (frame_bytes <= server_.small_frame_bytes() || account_->fits(frame_bytes)) return Admission::kAdmitted;
+  const std::string_view beginning = in_.view().substr(thrift::kFrameHeaderBytes);
+  thrift::Reader reader(beginning);
+  thrift::Message message;
+  if (!thrift::read_message_head(reader, message))
+    return beginning.size() < kMaxMessageHeadBytes ? Admission::kUndecided : Admission::kMalformed;
+  if (!refuse_frame(beginning)) return Admission::kMalformed;
+  ++server_.refused_for_memory_;
+  bytes_to_skip_ = frame_bytes;
+  skip_input();
+  return Admission::kRefused;
+}
+
+void FramedServer::Session::skip_input() {
+  const std::size_t count = std::min(bytes_to_skip_, in_.view().size());
+  if (count == 0) return;
+  in_.consume(count);
+  bytes_to_skip_ -= count;
+  if (bytes_to_skip_ > 0) return;
+  received_frame_ = true;
+  partial_frame_ = false;
+  last_activity_at_ = server_.coordinator_.now();
+}
+
+std::optional<MemoryCharge> FramedServer::Session::charge_request(std::size_t statement_bytes) {
+  auto charge = account_->try_charge(statement_bytes + kRequestOverheadBytes);
+  if (!charge) ++server_.refused_for_memory_;
+  return charge;
+}
+
 // The timeout of a frame starts with its first byte, however slowly the others follow.
 bool FramedServer::Session::note_partial_frame(bool partial) {
   if (partial && !std::exchange(partial_frame_, true) && received_frame_)
@@ -219,11 +260,13 @@
   return true;
 }
 
-FramedServer::FramedServer(Strand strand, Coordinator& coordinator, EventLog& log, Limits limits)
+FramedServer::FramedServer(Strand strand, Coordinator& coordinator, EventLog& log, Limits limits,
+                           std::shared_ptr<MemoryBudget> request_memory)
     : strand_(strand),
       coordinator_(coordinator),
       log_(log),
       limits_(limits),
+      request_memory_(std::move(request_memory)),
       acceptor_(strand),
       accept_pause_timer_(strand),
       sweep_timer_(strand),
@@ -381,6 +424,11 @@
   return next;
 }
 
+std::size_t FramedServer::small_frame_bytes() const {
+  return std::clamp(limits_.max_long_frame_bytes / std::max<std::size_t>(1, limits_.max_sessions),
+                    kMinSmallFrameBytes, kMaxSmallFrameBytes);
+}
+
 // The connections with the most unread answers are closed first: a client that reads never has many.
 void FramedServer::limit_unread_answers() {
   for (;;) {
@@ -407,6 +455,10 @@
           "client connections closed besides: " + std::to_string(closed_since_sweep_ - kMaxCloseLogLines) +
           unanswered_calls(unlogged_open_calls_));
     closed_since_sweep_ = unlogged_open_calls_ = 0;
+    if (refused_for_memory_ > 0)
+      log_.message("requests refused for want of memory: " + std::to_string(refused_for_memory_) + ", " +
+                   std::to_string(request_memory_->used()) + " bytes held by open requests");
+    refused_for_memory_ = 0;
     const auto sessions = sessions_;
     for (const auto& [_, session] : sessions) session->sweep(now);
     accept();
--- a/src/net/framed.h
+++ b/src/net/framed.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/memory_budget.h"
 #include "core/coordinator.h"
 #include "net/buffers.h"
 #include "net/frame_space.h"
@@ -29,7 +30,9 @@
     std::size_t pause_threshold{0};
   };
 
-  FramedServer(Strand strand, Coordinator& coordinator, EventLog& log, Limits limits);
+  // Open requests are charged to `request_memory`, to an account for each connection.
+  FramedServer(Strand strand, Coordinator& coordinator, EventLog& log, Limits limits,
+               std::shared_ptr<MemoryBudget> request_memory);
   virtual ~FramedServer();
   FramedServer(const FramedServer&) = delete;
   FramedServer& operator=(const FramedServer&) = delete;
@@ -67,6 +70,12 @@
    protected:
     // Handles one message. Returns false if it is malformed, which closes the connection.
     virtual bool handle_frame(std::string_view frame) = 0;
+    // Called with the beginning of a frame whose call and method are known, but for which there is no memory:
+    // answers that call, as the rest of its frame will be skipped. Returns false if it is malformed.
+    virtual bool refuse_frame(std::string_view beginning) = 0;
+    // The charge of a request with a statement of that length; nothing, and a log line in a while, if the
+    // client's share of the memory does not hold it.
+    std::optional<MemoryCharge> charge_request(std::size_t statement_bytes);
     // Called when the connection has been closed.
     virtual void on_closed() = 0;
     // Calls received whole that have no answer yet.
@@ -86,6 +95,10 @@
     void write();
     bool handle_frames();
     bool note_partial_frame(bool partial);
+    // Refuses the frame that has begun if its client's share of the memory does not hold it.
+    enum class Admission { kAdmitted, kRefused, kUndecided, kMalformed };
+    Admission admit_frame(std::size_t frame_bytes);
+    void skip_input();
     bool reading_paused() const;
     void sweep(Micros now);
     std::optional<std::pair<bool, Micros>> eviction_rank(Micros now) const;
@@ -109,6 +122,8 @@
     // a whole frame has been received; part of the next one has been
     bool received_frame_{false}, partial_frame_{false};
     std::size_t partial_frame_bytes_{0};  // length of that frame with its header; 0 while it is not known
+    std::size_t bytes_to_skip_{0};        // of a refused frame, not received yet
+    std::shared_ptr<MemoryAccount> account_;
     // reading waits for the space of a long frame
     bool waiting_for_space_{false};
     Micros space_taken_at_{0};
@@ -142,7 +157,11 @@
   bool make_frame_space(std::size_t bytes);
   std::shared_ptr<Session> next_to_release(Micros now) const;
   void limit_unread_answers();
+  // Every session may buffer this much; more counts against max_long_frame_bytes.
+  std::size_t small_frame_bytes() const;
 
+  std::shared_ptr<MemoryBudget> request_memory_;
+  std::size_t refused_for_memory_{0};  // since the last sweep
   tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_pause_timer_, sweep_timer_, space_timer_;
   bool accepting_{false};
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -28,8 +28,7 @@
     thrift::Reader reader(frame);
     thrift::Message message;
     if (!thrift::read_message_head(reader, message)) return false;
-    const bool call = message.kind == thrift::Kind::kCall;
-    if (!call && message.kind != thrift::Kind::kOneway) return false;
+    if (!is_request(message)) return false;
     if (message.method == "execute") {
       thrift::Fields fields;
       std::string_view body;
@@ -43,18 +42,42 @@
       push(thrift::reply_head(message.call, "check", 0));
       push(thrift::reply_tail(front_.ready_));
       schedule_write();
-    } else if (call) {
-      push(thrift::application_exception(message.call, message.method,
-                                         thrift::ApplicationError::kUnknownMethod, "unknown method"));
-      schedule_write();
+    } else {
+      reject_unknown_method(message);
+    }
+    return true;
+  }
+
+  bool refuse_frame(std::string_view beginning) override {
+    thrift::Reader reader(beginning);
+    thrift::Message message;
+    if (!thrift::read_message_head(reader, message) || !is_request(message)) return false;
+    if (message.method == "interrupt" || message.method == "check") return false;
+    if (message.method != "execute") {
+      reject_unknown_method(message);
+    } else {
+      refuse(message.call);
     }
     return true;
   }
 
  private:
+  static bool is_request(const thrift::Message& message) {
+    return message.kind == thrift::Kind::kCall || message.kind == thrift::Kind::kOneway;
+  }
+
+  void reject_unknown_method(const thrift::Message& message) {
+    if (message.kind != thrift::Kind::kCall) return;
+    push(thrift::application_exception(message.call, message.method, thrift::ApplicationError::kUnknownMethod,
+                                       "unknown method"));
+    schedule_write();
+  }
+
   void execute(std::int32_t call, const thrift::Fields& fields, std::string_view body) {
+    auto charge = charge_request(body.size());
+    if (!charge) return refuse(call);
     Query query;
-    query.statement = body;
+    query.statement = share_statement(body, std::move(*charge));
     const char* fault = open_calls_.contains(call)
                             ? "call number in use"
                             : read_query(fields, front_.tables_, front_.coordinator_, query);
@@ -62,16 +85,18 @@
       push(thrift::declared_exception(call, "execute", 2, {{"reason", fault}}));
       return schedule_write();
     }
-    if (front_.refusing_ || open_calls_.size() >= front_.limits_.max_open_calls) {
-      push(thrift::declared_exception(call, "execute", 1, {}));
-      return schedule_write();
-    }
+    if (front_.refusing_ || open_calls_.size() >= front_.limits_.max_open_calls) return refuse(call);
     query.reply_to = {number(), call, front_.front_number_};
     query.table_group = table_group(body);
     open_calls_[call] = query.id;
     front_.coordinator_.arrived(std::move(query));
   }
 
+  void refuse(std::int32_t call) {
+    push(thrift::declared_exception(call, "execute", 1, {}));
+    schedule_write();
+  }
+
   void interrupt(std::int32_t call) {
     const auto at = open_calls_.find(call);
     if (at == open_calls_.end()) return;  // the answer has crossed it
@@ -85,8 +110,8 @@
 };
 
 ThriftFront::ThriftFront(Strand strand, Coordinator& coordinator, EventLog& log, const NameTables& tables,
-                         Limits limits)
-    : FramedServer(strand, coordinator, log, limits),
+                         Limits limits, std::shared_ptr<MemoryBudget> request_memory)
+    : FramedServer(strand, coordinator, log, limits, std::move(request_memory)),
       tables_(tables),
       front_number_(coordinator.attach(*this)) {}
 
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -8,8 +8,8 @@
 
 class ThriftFront : public Front, public FramedServer {
  public:
-  ThriftFront(Strand strand, Coordinator& coordinator, EventLog& log, const NameTables& tables,
-              Limits limits);
+  ThriftFront(Strand strand, Coordinator& coordinator, EventLog& log, const NameTables& tables, Limits limits,
+              std::shared_ptr<MemoryBudget> request_memory);
 
   void answer(const ReplyTarget& ticket, Answer answer) override;
   void flush() override { write_dirty(); }
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -20,10 +20,10 @@
 constexpr std::chrono::seconds kListenTimeout{30};
 constexpr std::chrono::milliseconds kListenRetryInterval{50};
 constexpr std::chrono::seconds kMaxDeviceDrain{15};  // time for devices to receive messages in transit
-constexpr std::size_t kUnreadDivisor = 8;            // 1/8 of the memory may buffer replies to slow clients
-constexpr std::size_t kLongFrameDivisor = 16;        // 1/16 of the memory may buffer long requests in part
-constexpr std::size_t kSpoolDescriptors = 16;        // listener, index, segments being written or read
-constexpr std::size_t kReservedDescriptors = 24;     // log, epoll, timers, signals, listener, directory
+// Parts of the clients' memory: open requests, replies to slow clients, long requests received in part.
+constexpr std::size_t kRequestDivisor = 4, kUnreadDivisor = 8, kLongFrameDivisor = 16;
+constexpr std::size_t kSpoolDescriptors = 16;     // listener, index, segments being written or read
+constexpr std::size_t kReservedDescriptors = 24;  // log, epoll, timers, signals, listener, directory
 }  // namespace
 
 Server::Server(Config config, OperatorConf conf, spool::Substitutes substitutes,
@@ -32,15 +32,13 @@
       operator_conf_(std::move(conf)),
       strand_(io_.get_executor()),
       signals_(strand_),
+      request_memory_(create_request_memory()),
       grace_timer_(strand_),
       final_answer_timer_(strand_),
       end_timer_(strand_),
       coordinator_(strand_, log_, config_.seed, config_.settings),
       engines_(strand_, coordinator_, log_, engine_limits()),
-      front_(strand_, coordinator_, log_, config_.tables,
-             {.max_sessions = max_client_connections(),
-              .max_long_frame_bytes = (config_.memory_mb << 20) / kLongFrameDivisor,
-              .max_unread_bytes = (config_.memory_mb << 20) / kUnreadDivisor}),
+      front_(strand_, coordinator_, log_, config_.tables, front_limits(), request_memory_),
       directory_(strand_, coordinator_, log_, config_.tables, config_.directory, request_settle_time(),
                  config_.seed) {
   coordinator_.attach(engines_);
@@ -62,10 +60,10 @@
   spool_ = std::make_unique<spool::Spool>(strand_, log_, *metrics_, operator_conf_.spool, std::move(tenants),
                                           std::move(substitutes));
   readers_ = std::make_unique<spool::ReaderFront>(strand_, coordinator_, log_, config_.tables, *spool_,
-                                                  reader_limits());
+                                                  reader_limits(), request_memory_);
   if (!operator_conf_.edge.enabled) return;
   edge_ = std::make_unique<edge::Edge>(strand_, coordinator_, log_, *metrics_, config_.tables, *spool_,
-                                       operator_conf_.edge, config_.seed, std::move(ledger));
+                                       operator_conf_.edge, config_.seed, request_memory_, std::move(ledger));
   edge_fronts_ = std::make_unique<edge::Fronts>(strand_, log_, *edge_, edge_limits());
 }
 
@@ -79,10 +77,28 @@
   return {operator_conf_.edge.max_connections, operator_conf_.edge.poll_wait};
 }
 
+std::size_t Server::client_memory_bytes() const {
+  const std::size_t memory = config_.memory_mb << 20;
+  const std::size_t results = operator_conf_.spool.enabled ? operator_conf_.spool.logic.memory.max_bytes : 0;
+  return memory - std::min(results, memory);
+}
+
+std::shared_ptr<MemoryBudget> Server::create_request_memory() const {
+  const std::size_t readers = operator_conf_.spool.enabled ? operator_conf_.spool.max_sessions : 0;
+  return std::make_shared<MemoryBudget>(client_memory_bytes() / kRequestDivisor,
+                                        max_client_connections() + readers);
+}
+
+FramedServer::Limits Server::front_limits() const {
+  return {.max_sessions = max_client_connections(),
+          .max_long_frame_bytes = client_memory_bytes() / kLongFrameDivisor,
+          .max_unread_bytes = client_memory_bytes() / kUnreadDivisor};
+}
+
 FramedServer::Limits Server::reader_limits() const {
   return {.max_sessions = operator_conf_.spool.max_sessions,
-          .max_long_frame_bytes = (config_.memory_mb << 20) / kLongFrameDivisor,
-          .max_unread_bytes = (config_.memory_mb << 20) / kUnreadDivisor,
+          .max_long_frame_bytes = client_memory_bytes() / kLongFrameDivisor,
+          .max_unread_bytes = client_memory_bytes() / kUnreadDivisor,
           .idle_timeout = std::max(operator_conf_.spool.logic.lease, Micros{kSettleMargin}),
           .pause_threshold = operator_conf_.spool.max_unread_bytes};
 }
--- a/src/server.h
+++ b/src/server.h
@@ -42,6 +42,7 @@
   routes::Routes* routes() { return routes_.get(); }
   Metrics* metrics() { return metrics_.get(); }
   spool::Spool* spool() { return spool_.get(); }
+  const MemoryBudget& request_memory() const { return *request_memory_; }
   std::uint64_t broken_invariants() const { return log_.broken_invariant_count(); }
 
  private:
@@ -54,6 +55,10 @@
   void listen_for_clients();
   void end();
   void create_components(spool::Substitutes substitutes, std::unique_ptr<spool::Index> ledger);
+  // What clients' buffers and requests may take together: the memory without the spool's results.
+  std::size_t client_memory_bytes() const;
+  std::shared_ptr<MemoryBudget> create_request_memory() const;
+  FramedServer::Limits front_limits() const;
   FramedServer::Limits reader_limits() const;
   edge::Fronts::Limits edge_limits() const;
   void write_metrics();
@@ -65,6 +70,7 @@
   boost::asio::io_context io_{1};
   Strand strand_;
   boost::asio::signal_set signals_;
+  std::shared_ptr<MemoryBudget> request_memory_;  // of the open requests of all fronts
   boost::asio::steady_timer grace_timer_, final_answer_timer_, end_timer_;
   Coordinator coordinator_;
   EnginePool engines_;
--- a/src/spool/reader_front.cpp
+++ b/src/spool/reader_front.cpp
@@ -149,10 +149,20 @@
     return true;
   }
 
+  bool refuse_frame(std::string_view beginning) override {
+    thrift::Reader reader(beginning);
+    thrift::Message message;
+    if (!thrift::read_message_head(reader, message) || message.method != "submit") return false;
+    refuse_new(message.call);
+    return true;
+  }
+
  private:
   void submit(std::int32_t call, const thrift::Fields& fields, std::string_view body) {
+    auto charge = charge_request(body.size());
+    if (!charge) return refuse_new(call);
     Query query;
-    query.statement = body;
+    query.statement = share_statement(body, std::move(*charge));
     const char* fault = calls_.contains(call)
                             ? "call number in use"
                             : read_query(fields, front_.tables_, front_.coordinator_, query);
@@ -163,8 +173,7 @@
                                       {{"code", "unusable"}, {"reason", fault}, {"again", "0"}}));
       return schedule_write();
     }
-    if (front_.refusing_ || calls_.size() >= front_.limits_.max_open_calls)
-      return refuse(call, "submit", {"refused", "nothing new is taken here now", true}, true);
+    if (front_.refusing_ || calls_.size() >= front_.limits_.max_open_calls) return refuse_new(call);
     // The answer is routed by the request's id, as the request may outlive this connection.
     query.reply_to = {query.id, 0, front_.front_number_};
     query.table_group = table_group(body);
@@ -181,6 +190,10 @@
     front_.coordinator_.arrived(std::move(query));
   }
 
+  void refuse_new(std::int32_t call) {
+    refuse(call, "submit", {"refused", "nothing new is taken here now", true}, true);
+  }
+
   void interrupt(std::int32_t call) {
     const auto at = calls_.find(call);
     if (at == calls_.end()) return;  // the answer was sent before the interrupt arrived
@@ -304,8 +317,8 @@
 };
 
 ReaderFront::ReaderFront(Strand strand, Coordinator& coordinator, EventLog& log, const NameTables& tables,
-                         Spool& spool, Limits limits)
-    : FramedServer(strand, coordinator, log, limits),
+                         Spool& spool, Limits limits, std::shared_ptr<MemoryBudget> request_memory)
+    : FramedServer(strand, coordinator, log, limits, std::move(request_memory)),
       tables_(tables),
       spool_(spool),
       front_number_(coordinator.attach(*this)) {}
--- a/src/spool/reader_front.h
+++ b/src/spool/reader_front.h
@@ -14,7 +14,7 @@
 class ReaderFront : public Front, public FramedServer {
  public:
   ReaderFront(Strand strand, Coordinator& coordinator, EventLog& log, const NameTables& tables, Spool& spool,
-              Limits limits);
+              Limits limits, std::shared_ptr<MemoryBudget> request_memory);
 
   void answer(const ReplyTarget& ticket, Answer answer) override;
   void flush() override { write_dirty(); }
--- a/tests/net_world.h
+++ b/tests/net_world.h
@@ -36,6 +36,11 @@
     error_code ignored;
     asio::write(socket_, asio::buffer(bytes), ignored);
   }
+  // Writes as much as the connection takes at once; returns how many bytes that were.
+  std::size_t write_some(const std::string& bytes) {
+    error_code ignored;
+    return bytes.empty() ? 0 : socket_.write_some(asio::buffer(bytes), ignored);
+  }
   void close() { socket_.close(); }
   bool ended() const { return ended_; }
   const std::string& read() {
