--- a/include/steprail/gateway.h
+++ b/include/steprail/gateway.h
@@ -329,6 +329,8 @@
   // attempts and engines that the gateway does not know or has finished with are ignored.
   void handle(Micros now, const Event& event, std::vector<Action>& actions);
 
+  // Attempts that were sent and whose AttemptClosed has not come, on all engines.
+  int attempts_in_flight() const;
   // Backlog limit and backlog of one engine in milliseconds of estimated work, for tests and dashboards; 0
   // for an unknown engine.
   double backlog_limit(int engine) const;
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -221,9 +221,7 @@
   batch_.swap(pending_events_);
   for (Event& event : batch_) handle_event(event);
   batch_.clear();
-  // Actions may cause new events (such as a send that fails); the next iteration handles these.
-  for (const Action& action : actions_) std::visit([this](const auto& a) { execute(a); }, action);
-  actions_.clear();
+  STEPRAIL_INVARIANT(log_, gateway_.attempts_in_flight() == attempts_in_flight_);
   engines_->flush();
   schedule_deferred_ends();
   for (Front* front : fronts_) front->flush();
@@ -285,6 +283,7 @@
   } else if (auto* closed = std::get_if<AttemptClosed>(&event)) {
     OpenRequest& request = open_requests_.at(closed->id);
     request.attempt_state = AttemptState::kNone;
+    --attempts_in_flight_;
     if (closed->outcome == Outcome::kDelivered && !request.answered)
       answer_request(request, {Verdict::kServed, {}, std::move(request.pages)}, "answered");
     request.pages.clear();
@@ -292,9 +291,17 @@
     ended_id = closed->id, may_erase = true;
   }
   gateway_.handle(now_, event, actions_);
+  perform_actions();
   if (may_erase) erase_if_ended(ended_id);
 }
 
+// Called for each event, before the next one is handled: that one may end a request that an action is about.
+// Actions may cause new events (such as a send that fails); the next iteration handles these.
+void Coordinator::perform_actions() {
+  for (const Action& action : actions_) std::visit([this](const auto& a) { execute(a); }, action);
+  actions_.clear();
+}
+
 // All answers are sent from here, so that no request is answered twice.
 void Coordinator::answer_request(OpenRequest& request, Answer answer, std::string_view reason) {
   if (request.answered) return;
@@ -316,7 +323,6 @@
                                                                           std::move(answer));
 }
 
-// Actions of the batch that ended a request may still name it; they are ignored, as they do not find it.
 void Coordinator::erase_if_ended(RequestId id) {
   const auto at = open_requests_.find(id);
   if (at != open_requests_.end() && at->second.answered && at->second.attempt_state == AttemptState::kNone)
@@ -345,7 +351,8 @@
   request.engine = send.engine;
   request.sent_at = now_;
   ++request.attempts;
-  // The client disconnected within this batch: nothing is sent.
+  ++attempts_in_flight_;
+  // The request was answered before its arrival was handled: nothing is sent.
   if (request.answered) return close_attempt(request, Outcome::kNotSent, EndCause::kNotSent);
   Micros attempt_timeout = request.deadline - now_;
   if (send.timeout.count() > 0) attempt_timeout = std::min(attempt_timeout, send.timeout);
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -47,6 +47,9 @@
   // there is none.
   void when_all_answered(std::function<void()> callback);
   std::size_t unanswered() const { return unanswered_; }
+  // The gateway's, for tests and dashboards.
+  int attempts_in_flight() const { return gateway_.attempts_in_flight(); }
+  double backlog(int engine) const { return gateway_.backlog(engine); }
   // Answers all open requests: refused where a retry by the client is safe, failed otherwise.
   void answer_all();
   Micros now() { return clock_.now(); }
@@ -84,6 +87,7 @@
   void log_lateness();
   void handle_timeouts();
   void handle_event(Event& event);
+  void perform_actions();
   void close_attempt(OpenRequest& request, Outcome outcome, EndCause cause, LoadReport report = {});
   void cancel_attempt(OpenRequest& request, Outcome outcome, EndCause cause);
   void defer_end(OpenRequest& request, Outcome outcome, EndCause cause);
@@ -117,6 +121,7 @@
   Micros now_{0}, next_lateness_log_{0};
   std::size_t unanswered_{0};
   std::uint64_t last_generation_{0};
+  int attempts_in_flight_{0};  // sent, and their end not yet reported to the gateway
   std::unordered_map<RequestId, OpenRequest> open_requests_;
   std::priority_queue<Timeout, std::vector<Timeout>, std::greater<>> timeouts_;
   std::vector<Event> pending_events_, batch_;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -248,6 +248,8 @@
     std::visit([this](const auto& typed_event) { on(typed_event); }, event);
   }
 
+  int attempts_in_flight() const { return attempts_in_flight_; }
+
   const Engine* find_engine(int index) const {
     if (index < 0 || index >= static_cast<int>(engines_.size())) return nullptr;
     const Engine& engine = engines_[static_cast<std::size_t>(index)];
@@ -885,6 +887,7 @@
     engine.threads_in_flight += class_of(request).threads;
     engine.threads_sent_since_report += class_of(request).threads;
     ++engine.attempts_in_flight;
+    ++attempts_in_flight_;
     std::erase(engine.warm_groups, request.group);
     engine.warm_groups.push_front(request.group);
     if (engine.warm_groups.size() > kMaxWarmGroups) engine.warm_groups.pop_back();
@@ -1178,6 +1181,7 @@
     attempt.open = false;
     engine.backlog = std::max(0.0, engine.backlog - request.cost_ms);
     engine.threads_in_flight -= class_of(request).threads;
+    --attempts_in_flight_;
     if (--engine.attempts_in_flight == 0) engine.backlog = engine.threads_in_flight = 0;
     if (class_of(request).is_load && --engine.running_loads[request.group] <= 0)
       engine.running_loads.erase(request.group);
@@ -1345,6 +1349,7 @@
   std::map<int, GroupLoad> group_loads_;  // by table group
   std::vector<bool> reserved_;            // by engine, for the table group of the draw under way
   std::map<RequestId, Request> requests_;
+  int attempts_in_flight_{0};  // on all engines
   std::map<std::uint64_t, KeyQueue> key_queues_;
   std::vector<std::shared_ptr<const RouteParameters>> routes_;
   std::vector<std::vector<bool>> pools_;
@@ -1381,6 +1386,7 @@
 double Gateway::backlog_limit(int i) const {
   return impl_->find_engine(i) ? impl_->find_engine(i)->backlog_limit : 0;
 }
+int Gateway::attempts_in_flight() const { return impl_->attempts_in_flight(); }
 double Gateway::backlog(int i) const { return impl_->find_engine(i) ? impl_->find_engine(i)->backlog : 0; }
 
 }  // namespace steprail
