--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -203,8 +203,8 @@
   query.time_limit = Micros{std::clamp<std::int64_t>(action.body.limit_ms, 0, 1'000'000'000) * 1000};
   query.received_at = coordinator_.now();
   // The logic limits the open requests of each session, so a request has an account of its own.
-  auto charge = std::make_shared<MemoryAccount>(request_memory_)
-                    ->try_charge(action.body.statement.size() + kRequestOverheadBytes);
+  const auto account = std::make_shared<MemoryAccount>(request_memory_);
+  auto charge = account->try_charge(action.body.statement.size() + kRequestOverheadBytes);
   if (charge) query.statement = share_statement(action.body.statement, std::move(*charge));
   query.table_group = table_group(action.body.statement);
   query.reply_to = {action.request, 0, front_index_};
@@ -218,8 +218,10 @@
   running.deadline = now() + query.time_limit;
   running.repeatable = coordinator_.settings().classes[static_cast<std::size_t>(query.cls)].idempotency ==
                        Idempotency::kIdempotent;
-  running.spooled =
-      spool_.add_request(query.id, query.tenant, action.request | kEdgeReaderBit, query.time_limit);
+  auto reserve = account->try_charge(spool_.settings().logic.max_direct_bytes);
+  running.reserved = reserve.has_value();
+  running.spooled = spool_.add_request(query.id, query.tenant, action.request | kEdgeReaderBit,
+                                       query.time_limit, std::move(reserve).value_or(MemoryCharge{}));
   if (running.spooled) {
     query.sink = &spool_;
     query.max_result_bytes = spool_.settings().logic.max_result_bytes;
@@ -278,13 +280,16 @@
     window.total_rows = window.rows;
     keep_inline(std::move(window));
   } else {
-    spool_.complete(id, [&](const spool::Delivery& opened) {
+    const auto overflow =
+        running.reserved ? spool::Spool::Overflow::kKeep : spool::Spool::Overflow::kAnswerWhole;
+    spool_.complete(id, overflow, [&](const spool::Delivery& opened) {
       if (opened.kind == spool::Delivery::Kind::kHandle) {
         result.handle = opened.handle;
         outcome.rows = opened.rows;
         outcome.bytes = opened.bytes;
       } else if (opened.kind == spool::Delivery::Kind::kWhole) {
         keep_inline(opened.window);
+        spool_.whole_answer_written(id);
       } else {
         // The query ran, but the spool had no room for its rows.
         outcome.status = Outcome::Status::kFailed;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -95,6 +95,7 @@
   struct RunningRequest {
     int tenant{};
     bool spooled{}, repeatable{};
+    bool reserved{};  // there is memory for a short result that the spool has no room for
     Micros deadline{0};
   };
   std::unordered_map<RequestId, RunningRequest> running_;
--- a/src/net/framed.cpp
+++ b/src/net/framed.cpp
@@ -179,6 +179,7 @@
       return close(nullptr);
     }
   }
+  if (!closed_ && out_.empty()) on_written_out();
   resume_reading();
 }
 
@@ -247,8 +248,8 @@
   last_activity_at_ = server_.coordinator_.now();
 }
 
-std::optional<MemoryCharge> FramedServer::Session::charge_request(std::size_t statement_bytes) {
-  auto charge = account_->try_charge(statement_bytes + kRequestOverheadBytes);
+std::optional<MemoryCharge> FramedServer::Session::charge_memory(std::size_t bytes) {
+  auto charge = account_->try_charge(bytes);
   if (!charge) ++server_.refused_for_memory_;
   return charge;
 }
--- a/src/net/framed.h
+++ b/src/net/framed.h
@@ -73,9 +73,15 @@
     // Called with the beginning of a frame whose call and method are known, but for which there is no memory:
     // answers that call, as the rest of its frame will be skipped. Returns false if it is malformed.
     virtual bool refuse_frame(std::string_view beginning) = 0;
-    // The charge of a request with a statement of that length; nothing, and a log line in a while, if the
-    // client's share of the memory does not hold it.
-    std::optional<MemoryCharge> charge_request(std::size_t statement_bytes);
+    // Charges the client's share of the memory; nothing, and a log line in a while, if it does not hold so
+    // much.
+    std::optional<MemoryCharge> charge_memory(std::size_t bytes);
+    // The charge of a request with a statement of that length.
+    std::optional<MemoryCharge> charge_request(std::size_t statement_bytes) {
+      return charge_memory(statement_bytes + kRequestOverheadBytes);
+    }
+    // Called when all that was pushed has been written to the socket.
+    virtual void on_written_out() {}
     // Called when the connection has been closed.
     virtual void on_closed() = 0;
     // Calls received whole that have no answer yet.
--- a/src/spool/logic/spool_logic.cpp
+++ b/src/spool/logic/spool_logic.cpp
@@ -106,7 +106,7 @@
   if (at == results_.end()) return;
   Result& result = at->second;
   set_state(result, State::kReady);
-  if (result.direct) return end_result(at, EndReason::kAnsweredDirectly, out);
+  if (result.direct) return renew_lease(id, result, now);
   memory_.release(result.tenant, result.charged - result.received);
   result.charged = result.received;
   renew_lease(id, result, now);
@@ -449,8 +449,8 @@
   const auto at = results_.find(id);
   if (at == results_.end()) return std::nullopt;
   const Result& r = at->second;
-  return View{r.state,   r.tenant,     &r.handle,    &r.index,  r.acknowledged,
-              r.charged, r.expires_at, r.give_up_at, r.on_disk, r.storing};
+  return View{r.state,      r.tenant,     &r.handle, &r.index,  r.acknowledged, r.charged,
+              r.expires_at, r.give_up_at, r.on_disk, r.storing, r.direct};
 }
 
 std::optional<EndReason> SpoolLogic::end_reason_of(ResultId id) const {
--- a/src/spool/logic/spool_logic.h
+++ b/src/spool/logic/spool_logic.h
@@ -61,7 +61,7 @@
 };
 using SpoolAction = std::variant<DropAction, StoreAction>;
 
-// Where a result goes: kept in the spool, sent whole in one answer, or nowhere.
+// Where a result goes: into the spool's memory, into what its caller has reserved for it, or nowhere.
 enum class Placement { kSpool, kDirect, kRefused };
 
 enum class Access {
@@ -103,7 +103,8 @@
   bool add_page(ResultId id, std::uint64_t rows, Bytes bytes);
   // The attempt has ended without all of its pages. The charge is released later, by memory_freed().
   void attempt_lost(ResultId id);
-  // All pages have arrived, in order. Lowers the charge to the real size.
+  // All pages have arrived, in order. Lowers the charge to the real size. A result without a place in the
+  // spool (Placement::kDirect) is kept as well: its caller has reserved the memory for it.
   void complete(ResultId id, Micros now, std::vector<SpoolAction>& out);
   // The request has ended in another way.
   void end_request(ResultId id, EndReason reason, std::vector<SpoolAction>& out);
@@ -159,6 +160,7 @@
     Micros expires_at{};  // end of the lease or of the request's time, whichever is earlier
     Micros give_up_at{};
     bool on_disk{}, storing{};
+    bool direct{};  // has no place in the spool's memory
   };
   std::optional<View> view(ResultId id) const;
   std::optional<EndReason> end_reason_of(ResultId id) const;
--- a/src/spool/logic/state.h
+++ b/src/spool/logic/state.h
@@ -25,7 +25,7 @@
   kFailed,            // the coordinator's final answer was "failed"
   kGivenUp,           // the request's give-up time has passed
   kLeaseEnded,        // no reader used it within its lease
-  kAnsweredDirectly,  // the spool was full and the whole result was sent in one answer
+  kAnsweredDirectly,  // the spool was full and the whole result was written to its reader in one answer
   kSpoolFull,         // the spool was full and the result was too long for one answer
   kTooLong,           // longer than any result may be
   kLost               // the disk returned corrupt data, or none
--- a/src/spool/pages.h
+++ b/src/spool/pages.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "base/memory_budget.h"
+
 namespace steprail::spool {
 
 class Pages {
@@ -23,6 +25,8 @@
 
   void set_charge(std::uint64_t bytes) { charge_ = bytes; }
   std::uint64_t charged() const { return charge_; }
+  // Bytes of a budget other than the spool's, returned together with the pages.
+  void hold(MemoryCharge reserve) { reserve_ = std::move(reserve); }
   std::vector<std::string> contents;
 
   // A pointer to one page that keeps the whole result alive.
@@ -35,6 +39,7 @@
   std::shared_ptr<FreedCallback> on_freed_;
   std::size_t tenant_;
   std::uint64_t charge_{0};
+  MemoryCharge reserve_;
 };
 
 }  // namespace steprail::spool
--- a/src/spool/reader_front.cpp
+++ b/src/spool/reader_front.cpp
@@ -49,7 +49,7 @@
     case EndReason::kLeaseEnded:
       return {"lease-ended", "nobody came for the result within its lease and it is gone", false};
     case EndReason::kAnsweredDirectly:
-      return {"answered", "the result was answered whole at once, as the spool was full", false};
+      return {"answered", "the result was written whole to its reader, as the spool was full", false};
     case EndReason::kSpoolFull:
       return {"spool-full", "the result is longer than an answer may be, and the spool has no room", false};
     case EndReason::kTooLong:
@@ -94,6 +94,12 @@
           {"last", delivery.window.last() ? "1" : "0"}});
   }
 
+  // Sends a result that the spool has no room for. It is kept until it has been written.
+  void send_whole(std::int32_t call, std::string_view method, RequestId id, const Delivery& delivery) {
+    unwritten_results_.push_back(id);
+    send(call, method, delivery);
+  }
+
   void call_done(std::int32_t call) {
     calls_.erase(call);
     restart_idle_timer();
@@ -104,6 +110,11 @@
   // Answers are sent in the order of the calls, and a reader holds one window at a time.
   bool calls_blocked() const override { return fetching_; }
 
+  void on_written_out() override {
+    const auto written = std::exchange(unwritten_results_, {});
+    for (const RequestId id : written) front_.spool_.whole_answer_written(id);
+  }
+
   void on_closed() override {
     const auto calls = std::exchange(calls_, {});
     for (const auto& [call, id] : calls) {
@@ -177,7 +188,11 @@
     // The answer is routed by the request's id, as the request may outlive this connection.
     query.reply_to = {query.id, 0, front_.front_number_};
     query.table_group = table_group(body);
-    const bool spooled = front_.spool_.add_request(query.id, query.tenant, number(), query.time_limit);
+    // A short result is kept for a reader that has dropped, however full the spool is by then.
+    auto reserve = charge_memory(front_.spool_.settings().logic.max_direct_bytes);
+    if (!reserve) return refuse_new(call);
+    const bool spooled =
+        front_.spool_.add_request(query.id, query.tenant, number(), query.time_limit, std::move(*reserve));
     if (spooled) {
       query.sink = &front_.spool_;
       query.max_result_bytes = front_.spool_.settings().logic.max_result_bytes;
@@ -313,6 +328,7 @@
   friend class ReaderFront;
   ReaderFront& front_;
   std::unordered_map<std::int32_t, RequestId> calls_;  // calls that wait for a request's answer
+  std::vector<RequestId> unwritten_results_;           // sent whole, and not yet written to the socket
   bool fetching_{false};
 };
 
@@ -348,7 +364,8 @@
                           std::move(fields));
   }
   if (waiting.spooled) {
-    return spool_.complete(id, [&](const Delivery& delivery) { deliver(waiting, delivery); });
+    const auto overflow = reader != nullptr ? Spool::Overflow::kAnswerWhole : Spool::Overflow::kKeep;
+    return spool_.complete(id, overflow, [&](const Delivery& delivery) { deliver(waiting, id, delivery); });
   }
   // Without the spool the whole result is sent at once, as the platform's service does.
   if (reader == nullptr) return;
@@ -369,13 +386,15 @@
   reader->send(waiting.call, method, delivery);
 }
 
-void ReaderFront::deliver(const PendingAnswer& to, const Delivery& delivery) {
+void ReaderFront::deliver(const PendingAnswer& to, RequestId id, const Delivery& delivery) {
   auto* reader = static_cast<ReaderSession*>(find_session(to.session));
   if (reader == nullptr) return;
   const char* method = to.resumed ? "resume" : "submit";
   if (delivery.kind == Delivery::Kind::kNone) {
     reader->refuse(to.call, method, refusal_for(delivery.reason),
                    to.repeatable && delivery.reason == EndReason::kSpoolFull);
+  } else if (delivery.kind == Delivery::Kind::kWhole) {
+    reader->send_whole(to.call, method, id, delivery);
   } else {
     reader->send(to.call, method, delivery);
   }
--- a/src/spool/reader_front.h
+++ b/src/spool/reader_front.h
@@ -30,7 +30,7 @@
     bool repeatable{};
   };
   std::shared_ptr<Session> create_session(tcp::socket socket, std::uint64_t number) override;
-  void deliver(const PendingAnswer& to, const Delivery& delivery);
+  void deliver(const PendingAnswer& to, RequestId id, const Delivery& delivery);
 
   const NameTables& tables_;
   Spool& spool_;
--- a/src/spool/spool.cpp
+++ b/src/spool/spool.cpp
@@ -169,8 +169,9 @@
 
 // ---- Requests ----
 
-bool Spool::add_request(RequestId id, int tenant, ReaderId reader, Micros limit) {
+bool Spool::add_request(RequestId id, int tenant, ReaderId reader, Micros limit, MemoryCharge reserve) {
   if (!logic_.add_request(id, tenant_index(tenant), make_handle(), reader, now() + limit)) return false;
+  reserves_[id] = std::move(reserve);
   arm_lease_timer();
   return true;
 }
@@ -238,7 +239,7 @@
   buffers_.erase(at);
 }
 
-void Spool::complete(RequestId id, std::function<void(Delivery)> then) {
+void Spool::complete(RequestId id, Overflow overflow, std::function<void(Delivery)> then) {
   Delivery delivery;
   const auto at = buffers_.find(id);
   const auto view = logic_.view(id);
@@ -263,22 +264,22 @@
   const std::shared_ptr<const Pages> pages = buffer.pages;
   const PageIndex index = *view->index;
   logic_.complete(id, now(), actions_);
-  if (logic_.view(id)) {
-    buffer.pages->set_charge(logic_.charged(id));
-    delivery = describe(id);
+  buffer.pages->set_charge(logic_.charged(id));
+  const bool has_place = !logic_.view(id)->direct;
+  if (!has_place) buffer.pages->hold(std::move(reserves_[id]));
+  reserves_.erase(id);
+  delivery = describe(id);
+  if (has_place || overflow == Overflow::kKeep) {
     delivery.window = make_window(pages, 0, index, 0, 1, 0, settings_.max_window_bytes);
-    window_sent(id, delivery.window);
-    run_actions();
-    return then(std::move(delivery));
+  } else {
+    metrics_.direct.Increment();
+    delivery.kind = Delivery::Kind::kWhole;
+    delivery.handle.clear();
+    delivery.lease = Micros{0};
+    delivery.window = make_window(pages, 0, index, 0, index.page_count(), 0, index.byte_count());
   }
+  window_sent(id, delivery.window);
   run_actions();
-  metrics_.direct.Increment();
-  metrics_.served.Increment();
-  delivery.kind = Delivery::Kind::kWhole;
-  delivery.rows = index.row_count();
-  delivery.bytes = index.byte_count();
-  delivery.pages = index.page_count();
-  delivery.window = make_window(pages, 0, index, 0, index.page_count(), 0, index.byte_count());
   then(std::move(delivery));
 }
 
@@ -447,6 +448,7 @@
 
 void Spool::carry_out(const DropAction& drop) {
   buffers_.erase(drop.id);
+  reserves_.erase(drop.id);
   if (!drop.on_disk) return;
   disk_->erase(drop.id, [this, id = drop.id] { logic_.disk_erased(id); });
 }
--- a/src/spool/spool.h
+++ b/src/spool/spool.h
@@ -67,14 +67,18 @@
   const SpoolSettings& settings() const { return settings_; }
 
   // ---- Requests, in the order of the calls ----
-  // False if the request has to run without the spool.
-  bool add_request(RequestId id, int tenant, ReaderId reader, Micros limit);
+  // False if the request has to run without the spool. `reserve` is memory for a result of up to
+  // max_direct_bytes, which is kept there where the spool has no room for it.
+  bool add_request(RequestId id, int tenant, ReaderId reader, Micros limit, MemoryCharge reserve = {});
   Want begin(RequestId id, int attempt, std::size_t pages, std::string_view first) override;
   Want page(RequestId id, int attempt, std::size_t number, std::string_view bytes) override;
   void lost(RequestId id, int attempt) override;
   // The coordinator's final answer is "served": either all pages have arrived, or the reason why not is
-  // known.
-  void complete(RequestId id, std::function<void(Delivery)> then);
+  // known. A result that the spool has no room for is delivered whole or kept in its reserve. It stays here
+  // in both cases, until whole_answer_written() or as any other result.
+  enum class Overflow { kAnswerWhole, kKeep };
+  void complete(RequestId id, Overflow overflow, std::function<void(Delivery)> then);
+  void whole_answer_written(RequestId id) { end_request(id, EndReason::kAnsweredDirectly); }
   void end_request(RequestId id, EndReason reason);
   bool contains(RequestId id) const { return logic_.view(id).has_value(); }
 
@@ -153,6 +157,7 @@
   SpoolLogic logic_;
   std::shared_ptr<Pages::FreedCallback> memory_freed_, read_back_freed_;
   std::unordered_map<RequestId, ResultBuffer> buffers_;
+  std::unordered_map<RequestId, MemoryCharge> reserves_;  // of requests that are not complete
   std::vector<SpoolAction> actions_;
   bool running_actions_{false};
   std::deque<PendingRead> pending_reads_;  // wait for memory to read back into
--- a/tests/spool/story_test.cpp
+++ b/tests/spool/story_test.cpp
@@ -453,6 +453,68 @@
   CHECK(site.server->broken_invariants() == 0);
 }
 
+// Guards against the result of a reader that is away being dropped because the spool is full (review/10).
+TEST_CASE("spool: a full spool keeps a short result for a reader that is away, and says answered only then") {
+  Site::Options options = long_report_options();
+  options.conf = "spool {\n  listen 127.0.0.1:0\n  memory 1m reserved 0%\n  result-most 256k\n}\n";
+  options.script->rows = 2000;  // 200 KB
+  Site site(options);
+  const auto reader = site.reader();
+  std::string id = kId;
+  for (char c = '1'; c <= '5'; ++c) {
+    id.back() = c;
+    REQUIRE(submit(site, *reader, id).field == 0);
+  }
+  site.script->rows = 400;  // 40 KB: within the platform's limit
+  site.script->run_time = std::chrono::milliseconds(300);
+  id.back() = '6';
+  const auto away = site.reader();
+  away->call("submit", 1, request(id), "select * from lessons_3.hours");
+  REQUIRE(site.run_until([&] { return site.run_count(id) == 1; }));
+  away->close();
+  REQUIRE(site.run_until([&] { return site.open_sessions() == 0; }));
+  const auto back = site.reader();
+  const Reply resumed = call_and_wait(site, *back, "resume", {{"txn", id}, {"team", "acme"}});
+  REQUIRE(resumed.field == 0);
+  CHECK(resumed.body + read_rest(site, *back, resumed.at("handle"), std::stoull(resumed.at("got"))) ==
+        full_result(*site.script, id, 1));
+  CHECK(site.run_count(id) == 1);
+  CHECK(call_and_wait(site, *back, "acknowledge",
+                      {{"handle", resumed.at("handle")}, {"team", "acme"}, {"rows", "400"}})
+            .field == 0);
+  // One that stays gets the whole result at once, and is then told so.
+  id.back() = '7';
+  const Reply whole = submit(site, *back, id);
+  CHECK(whole.body == full_result(*site.script, id, 1));
+  CHECK(call_and_wait(site, *back, "resume", {{"txn", id}, {"team", "acme"}}).at("code") == "answered");
+}
+
+// Guards against requests that run although there is no memory for their results (review/10).
+TEST_CASE("spool: a request whose short result could not be kept is refused before it runs") {
+  constexpr int kRequests = 32;
+  Site::Options options = long_report_options();
+  options.conf = "spool {\n  listen 127.0.0.1:0\n  memory 1m\n  result-most 256k\n}\n";
+  options.edit_config = [](nlohmann::json& config) { config["limits"]["memory_mb"] = 4; };
+  options.script->rows = 10;
+  options.script->run_time = std::chrono::milliseconds(500);
+  Site site(options);
+  const auto reader = site.reader();
+  std::map<int, std::string> ids;
+  for (int call = 1; call <= kRequests; ++call) {
+    ids[call] = kId.substr(0, 14) + std::to_string(10 + call);
+    reader->call("submit", call, request(ids[call]), "select * from lessons_3.hours");
+  }
+  int refused = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto reply = site.wait_for_reply(*reader);
+    REQUIRE(reply);
+    if (reply->field == 0) continue;
+    CHECK(reply->at("again") == "1");
+    if (site.run_count(ids[reply->call]) == 0) ++refused;
+  }
+  CHECK(refused > 0);
+}
+
 TEST_CASE(
     "spool: a reload with a budget below its use keeps the results, and an invalid one changes nothing") {
   Site site(long_report_options());
