--- a/include/steprail/gateway.h
+++ b/include/steprail/gateway.h
@@ -264,6 +264,9 @@
   RequestId id{};
   int engine{};
   Micros timeout{0};
+  // The attempt is not to be sent after this time, as engines may no longer know the request's first attempt
+  // by its key: the caller then ends it as kNotSent. 0: no limit.
+  Micros send_before{0};
 };
 // Memory and priority (0 to 3) of the next attempts. An attempt in flight takes the priority only.
 struct SetResources {
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -103,6 +103,14 @@
   enqueue(arrival);
 }
 
+bool Coordinator::wants_attempt(RequestId id, int attempt) const {
+  const auto at = open_requests_.find(id);
+  if (at == open_requests_.end()) return false;
+  const OpenRequest& request = at->second;
+  return !request.answered && request.attempt_state == AttemptState::kInFlight &&
+         attempt == request.attempts - 1;
+}
+
 void Coordinator::client_gone(RequestId id) { enqueue(ClientGone{id}); }
 
 void Coordinator::attempt_ended(AttemptEnd end) {
@@ -366,7 +374,8 @@
               {"patience", attempt_timeout.count() / 1000},
               {"bound", gateway_.backlog_limit(send.engine)},
               {"backlog", gateway_.backlog(send.engine)}});
-  engines_->send({request.query, request.attempts - 1, send.engine, attempt_timeout});
+  engines_->send(
+      {request.query, request.attempts - 1, send.engine, now_ + attempt_timeout, send.send_before});
 }
 
 void Coordinator::execute(const Cancel& cancel) {
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -43,6 +43,8 @@
   // Schedules an event loop iteration, which flushes all pending writes at its end.
   void schedule_iteration();
   bool has_request(RequestId id) const { return open_requests_.contains(id); }
+  // False once the request is answered, its client has gone, or the attempt has ended.
+  bool wants_attempt(RequestId id, int attempt) const;
   // Calls back once, in the event loop iteration in which the last unanswered request is answered; at once if
   // there is none.
   void when_all_answered(std::function<void()> callback);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -90,7 +90,8 @@
   const Query& query;
   int attempt{};
   int engine{};
-  Micros attempt_timeout{0};  // after which the coordinator cancels the attempt
+  Micros attempt_deadline{0};  // when the coordinator cancels the attempt, Unix time
+  Micros send_before{0};       // the attempt must not be sent after this time, Unix time; 0: no limit
 };
 
 struct EngineChange {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -837,8 +837,7 @@
   bool idempotency_allows(const Request& request, int engine) const {
     if (request.possible_run_engine < 0 || class_of(request).idempotency == Idempotency::kIdempotent)
       return true;
-    if (class_of(request).idempotency == Idempotency::kNone ||
-        now_ >= request.possible_run_at + class_of(request).dedup_window)
+    if (class_of(request).idempotency == Idempotency::kNone || now_ >= end_of_dedup_window(request))
       return false;
     const Engine& previous = engines_[static_cast<std::size_t>(request.possible_run_engine)];
     const Engine& candidate = engines_[static_cast<std::size_t>(engine)];
@@ -847,6 +846,14 @@
            (class_of(request).dedup_scope == DedupScope::kCell && previous.cell == candidate.cell);
   }
 
+  // Until when engines drop a repeat of the request by its key; 0 if it need not be dropped.
+  Micros end_of_dedup_window(const Request& request) const {
+    const bool by_key = class_of(request).idempotency == Idempotency::kByKey;
+    return by_key && request.possible_run_engine >= 0
+               ? request.possible_run_at + class_of(request).dedup_window
+               : Micros{0};
+  }
+
   // Whether the request is the first of its key's queue, and no earlier attempt of the key may still be
   // running. Always true where no order is kept; a retry does not wait for the block again.
   bool is_next_of_key(RequestId id, const Request& request) const {
@@ -870,7 +877,7 @@
     if (!idempotency_allows(request, index) || !slow_start_allows(engine, request)) return false;
     if (!request.attempts.empty() && !retry_budget_allows(request)) return false;
     update_resources(id, request, engine);
-    emit(Send{id, index, attempt_timeout(request)});
+    emit(Send{id, index, attempt_timeout(request), end_of_dedup_window(request)});
     if (!request.attempts.empty()) retry_times_.push_back(now_);
     if (!request.attempts.empty() && request.route && request.route->retry_budget_ratio)
       retry_budgets_[request.route->id] -= 1;
--- a/src/net/engine_line.cpp
+++ b/src/net/engine_line.cpp
@@ -128,11 +128,11 @@
   return page.empty() || page.back() == '\n';
 }
 
-std::string serve_command_line(const Dispatch& dispatch) {
-  const Query& query = dispatch.query;
-  const auto ttl = std::max<std::int64_t>(1, dispatch.attempt_timeout.count() / 1000);
-  return "serve " + query.name + " lane=" + query.class_name + ",ttl=" + std::to_string(ttl) + ' ' +
-         std::to_string(query.statement->size()) + "\r\n";
+std::string serve_command_line(std::string_view name, std::string_view class_name, Micros time_left,
+                               std::size_t statement_bytes) {
+  const auto ttl_ms = std::max<std::int64_t>(1, time_left.count() / 1000);
+  return "serve " + std::string(name) + " lane=" + std::string(class_name) +
+         ",ttl=" + std::to_string(ttl_ms) + ' ' + std::to_string(statement_bytes) + "\r\n";
 }
 
 }  // namespace steprail
--- a/src/net/engine_line.h
+++ b/src/net/engine_line.h
@@ -39,7 +39,9 @@
 bool has_only_whole_rows(std::string_view page);
 
 // The line before the statement in the command that starts an attempt, and what follows the statement.
-std::string serve_command_line(const Dispatch& dispatch);
+// `time_left`: how long the engine may run it.
+std::string serve_command_line(std::string_view name, std::string_view class_name, Micros time_left,
+                               std::size_t statement_bytes);
 constexpr std::string_view kCommandEnd = "\r\n";
 
 }  // namespace steprail
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/coroutine.hpp>
+#include <deque>
 #include <tuple>
 
 #include "net/buffers.h"
@@ -28,6 +29,8 @@
 constexpr std::int64_t kMaxPages = 1024;
 constexpr std::size_t kMaxResultBytes = 48'000;
 constexpr std::size_t kPageWindow = 16;  // pages of a long result that are requested and not yet received
+// Commands of attempts are formed until this much waits to be written on a connection.
+constexpr std::size_t kCommandBatchBytes = 64 << 10;
 constexpr std::size_t kMaxUnsentBytes = 4 << 20;  // commands that an engine does not read
 }  // namespace
 
@@ -103,7 +106,11 @@
   void send(const Dispatch& dispatch) {
     PendingAttempt pending;
     pending.name = dispatch.query.name;
+    pending.class_name = dispatch.query.class_name;
+    pending.statement = dispatch.query.statement;
     pending.attempt = dispatch.attempt;
+    pending.attempt_deadline = dispatch.attempt_deadline;
+    pending.send_before = dispatch.send_before;
     pending.tag = ++last_tag_;
     pending.sent_at = pool_.coordinator_.now();
     pending.deadline = dispatch.query.received_at + dispatch.query.time_limit;
@@ -114,9 +121,7 @@
         LogLevel::kDebug, "queued",
         {{"id", pending.name}, {"attempt", pending.attempt}, {"engine", engine_}, {"connection", number_}});
     in_flight_.emplace(dispatch.query.id, std::move(pending));
-    out_.push(serve_command_line(dispatch), last_tag_);
-    out_.push(dispatch.query.statement, 0, dispatch.query.statement->size(), last_tag_);
-    out_.push(std::string(kCommandEnd), last_tag_);
+    unsent_.push_back(dispatch.query.id);
     schedule_write();
   }
 
@@ -126,7 +131,7 @@
     const PendingAttempt pending = std::move(at->second);
     in_flight_.erase(at);
     last_used_at_ = pool_.coordinator_.now();
-    if (out_.withdraw(pending.tag)) return;
+    if (withdraw(id, pending)) return;
     if (pending.sink != nullptr) pending.sink->lost(id, attempt);
     // An engine or connection that silently lost one answer would lose the next one as well.
     if (idle() && last_used_at_ - std::max(last_received_at_, pending.sent_at) > kMaxSilence)
@@ -145,17 +150,19 @@
   void withdraw_unsent() {
     std::vector<std::pair<RequestId, int>> unsent;
     for (const auto& [id, pending] : in_flight_) {
-      if (out_.withdraw(pending.tag)) unsent.emplace_back(id, pending.attempt);
+      if (withdraw(id, pending)) unsent.emplace_back(id, pending.attempt);
     }
     for (const auto& [id, attempt] : unsent) {
       in_flight_.erase(id);
-      pool_.end_unsent_attempt(id, attempt, EndCause::kDrained);
+      pool_.end_unsent_attempt(id, attempt, Outcome::kConnectFailed, EndCause::kDrained);
     }
   }
 
   void write() {
     dirty_ = false;
-    while (!closed_ && connected_ && !out_.empty() && !write_blocked_) {
+    while (!closed_ && connected_ && !write_blocked_) {
+      form_commands();
+      if (out_.empty()) return;
       error_code error;
       const std::size_t count = socket_.write_some(out_.gather(), error);
       out_.mark_sent(count);
@@ -226,7 +233,7 @@
     for (const auto& [id, pending] : attempts) {
       if (pending.sink != nullptr) pending.sink->lost(id, pending.attempt);
       // What the engine cannot have received completely never ran. Whether the others ran is unknown.
-      const bool unwritten = !connected_ || out_.contains(pending.tag);
+      const bool unwritten = !connected_ || !pending.command_formed || out_.contains(pending.tag);
       const Outcome lost_outcome =
           close_cause_ == EndCause::kMalformedAnswer ? Outcome::kAppError : Outcome::kConnectionLost;
       report_end(id, pending, unwritten ? Outcome::kConnectFailed : lost_outcome,
@@ -239,7 +246,10 @@
 
  private:
   struct PendingAttempt {
-    std::string name;
+    std::string name, class_name;
+    StatementText statement;  // until the command is formed
+    bool command_formed{false};
+    Micros attempt_deadline{0}, send_before{0};
     int attempt{};
     std::uint64_t tag{};
     Micros sent_at{0};
@@ -264,6 +274,47 @@
            static_cast<double>(pool_.limits_.idle_timeout.count());
   }
 
+  // Forms the commands of the attempts that wait. What they were decided on is looked at again here, as a
+  // connection may come up, or take bytes again, long after that.
+  void form_commands() {
+    while (!unsent_.empty() && out_.size() < kCommandBatchBytes) {
+      const RequestId id = unsent_.front();
+      unsent_.pop_front();
+      const auto at = in_flight_.find(id);
+      if (at == in_flight_.end() || at->second.command_formed) continue;
+      if (pool_.coordinator_.now() >= at->second.attempt_deadline) continue;  // its timeout ends it
+      if (may_be_sent(id, at->second)) {
+        form_command(at->second);
+      } else {
+        const int attempt = at->second.attempt;
+        in_flight_.erase(at);
+        pool_.end_unsent_attempt(id, attempt, Outcome::kNotSent, EndCause::kNotSent);
+      }
+    }
+  }
+
+  bool may_be_sent(RequestId id, const PendingAttempt& pending) const {
+    if (pending.send_before.count() > 0 && pool_.coordinator_.now() >= pending.send_before) return false;
+    return pool_.coordinator_.wants_attempt(id, pending.attempt);
+  }
+
+  void form_command(PendingAttempt& pending) {
+    const StatementText statement = std::move(pending.statement);
+    const Micros time_left = pending.attempt_deadline - pool_.coordinator_.now();
+    out_.push(serve_command_line(pending.name, pending.class_name, time_left, statement->size()),
+              pending.tag);
+    out_.push(statement, 0, statement->size(), pending.tag);
+    out_.push(std::string(kCommandEnd), pending.tag);
+    pending.command_formed = true;
+  }
+
+  // Takes back a command of which no byte has been written; false if it is too late.
+  bool withdraw(RequestId id, const PendingAttempt& pending) {
+    if (pending.command_formed) return out_.withdraw(pending.tag);
+    std::erase(unsent_, id);
+    return true;
+  }
+
   static std::string probe_name(std::uint64_t number) { return "probe" + std::to_string(number); }
   void push_command(const char* verb, const PendingAttempt& pending) {
     out_.push(std::string(verb) + ' ' + pending.name + "\r\n");
@@ -467,6 +518,7 @@
   InputBuffer in_;
   OutputQueue out_;
   std::unordered_map<RequestId, PendingAttempt> in_flight_;  // attempts by their request
+  std::deque<RequestId> unsent_;                             // whose commands are not formed yet
   // ids that are not sent on this connection again before that time
   std::unordered_map<RequestId, Micros> retired_until_;
   std::unordered_map<std::uint64_t, Micros> probes_;
@@ -585,14 +637,16 @@
   const auto connection =
       available ? pick_connection(dispatch.engine, dispatch.query.id, runs_at_most_once(dispatch.query))
                 : nullptr;
-  if (!connection) return end_unsent_attempt(dispatch.query.id, dispatch.attempt, EndCause::kNoConnection);
+  if (!connection)
+    return end_unsent_attempt(dispatch.query.id, dispatch.attempt, Outcome::kConnectFailed,
+                              EndCause::kNoConnection);
   connection_by_request_[dispatch.query.id] = connection;
   connection->send(dispatch);
 }
 
-void EnginePool::end_unsent_attempt(RequestId id, int attempt, EndCause cause) {
+void EnginePool::end_unsent_attempt(RequestId id, int attempt, Outcome outcome, EndCause cause) {
   connection_by_request_.erase(id);
-  coordinator_.attempt_ended({id, attempt, Outcome::kConnectFailed, cause, {}, {}});
+  coordinator_.attempt_ended({id, attempt, outcome, cause, {}, {}});
 }
 
 void EnginePool::cancel(RequestId id, int attempt) {
--- a/src/net/engine_pool.h
+++ b/src/net/engine_pool.h
@@ -53,7 +53,7 @@
   bool runs_at_most_once(const Query& query) const;
   bool make_room_for(int engine, bool required);
   void remove_connection(int engine, const Connection* connection);
-  void end_unsent_attempt(RequestId id, int attempt, EndCause cause);
+  void end_unsent_attempt(RequestId id, int attempt, Outcome outcome, EndCause cause);
   void sweep();
 
   Strand strand_;
--- a/src/server.h
+++ b/src/server.h
@@ -42,6 +42,8 @@
   routes::Routes* routes() { return routes_.get(); }
   Metrics* metrics() { return metrics_.get(); }
   spool::Spool* spool() { return spool_.get(); }
+  // Open connections to the platform's service.
+  std::size_t client_count() const { return front_.session_count(); }
   const MemoryBudget& request_memory() const { return *request_memory_; }
   std::uint64_t broken_invariants() const { return log_.broken_invariant_count(); }
 
