--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -29,8 +29,14 @@
 constexpr Micros kLateLogThreshold{30'000}, kLateLogInterval{200'000};
 }  // namespace
 
-Coordinator::Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings)
-    : strand_(strand), log_(log), settings_(settings), gateway_(seed, std::move(settings)), timer_(strand) {}
+Coordinator::Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings,
+                         std::size_t max_run_history)
+    : strand_(strand),
+      log_(log),
+      run_history_(max_run_history),
+      settings_(settings),
+      gateway_(seed, std::move(settings)),
+      timer_(strand) {}
 
 int Coordinator::attach(Front& front) {
   fronts_.push_back(&front);
@@ -103,6 +109,25 @@
   enqueue(arrival);
 }
 
+bool Coordinator::may_have_run(RequestId id) const {
+  return has_request(id) || run_history_.contains(id, std::chrono::steady_clock::now());
+}
+
+bool Coordinator::has_room_for(int cls) {
+  return !runs_at_most_once(cls) || !run_history_.full(std::chrono::steady_clock::now());
+}
+
+bool Coordinator::runs_at_most_once(int cls) const {
+  return settings_.classes[static_cast<std::size_t>(cls)].idempotency == Idempotency::kNone;
+}
+
+void Coordinator::record_run(const OpenRequest& request, Outcome outcome) {
+  const bool never_ran = request.withdrawn || outcome == Outcome::kRejected ||
+                         outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
+  if (!never_ran && runs_at_most_once(request.query.cls))
+    run_history_.record(request.query.id, std::chrono::steady_clock::now());
+}
+
 bool Coordinator::wants_attempt(RequestId id, int attempt) const {
   const auto at = open_requests_.find(id);
   if (at == open_requests_.end()) return false;
@@ -193,7 +218,7 @@
 // Cancels at the engine at once, and reports the end to the gateway only when the engine must have received
 // the cancel.
 void Coordinator::cancel_attempt(OpenRequest& request, Outcome outcome, EndCause cause) {
-  engines_->cancel(request.query.id, request.attempts - 1);
+  request.withdrawn = engines_->cancel(request.query.id, request.attempts - 1);
   defer_end(request, outcome, cause);
 }
 
@@ -292,6 +317,7 @@
     OpenRequest& request = open_requests_.at(closed->id);
     request.attempt_state = AttemptState::kNone;
     --attempts_in_flight_;
+    record_run(request, closed->outcome);
     if (closed->outcome == Outcome::kDelivered && !request.answered)
       answer_request(request, {Verdict::kServed, {}, std::move(request.pages)}, "answered");
     request.pages.clear();
@@ -358,6 +384,7 @@
   if (request.attempt_state != AttemptState::kNone) return;
   request.engine = send.engine;
   request.sent_at = now_;
+  request.withdrawn = false;
   ++request.attempts;
   ++attempts_in_flight_;
   // The request was answered before its arrival was handled: nothing is sent.
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "core/ports.h"
+#include "core/run_history.h"
 
 namespace steprail {
 
@@ -19,7 +20,10 @@
 
 class Coordinator {
  public:
-  Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings);
+  static constexpr std::size_t kDefaultRunHistory = 65'536;
+  // `max_run_history`: ids of requests that must not run twice that are known at a time.
+  Coordinator(Strand strand, EventLog& log, std::uint64_t seed, Settings settings,
+              std::size_t max_run_history = kDefaultRunHistory);
   void attach(Engines& engines) { engines_ = &engines; }
   void attach(Routing& routing) { routing_ = &routing; }
   // Returns the front's index, to be set in ReplyTarget::front.
@@ -43,6 +47,11 @@
   // Schedules an event loop iteration, which flushes all pending writes at its end.
   void schedule_iteration();
   bool has_request(RequestId id) const { return open_requests_.contains(id); }
+  // True if a request of that id must not run again: it is open, or it may have run lately. It must not be
+  // refused either, as its client would then send it again.
+  bool may_have_run(RequestId id) const;
+  // False if the class must not run twice and no further ids of such requests can be remembered.
+  bool has_room_for(int cls);
   // False once the request is answered, its client has gone, or the attempt has ended.
   bool wants_attempt(RequestId id, int attempt) const;
   // Calls back once, in the event loop iteration in which the last unanswered request is answered; at once if
@@ -68,6 +77,7 @@
     AttemptState attempt_state{AttemptState::kNone};
     int engine{};
     Micros sent_at{0};
+    bool withdrawn{};  // cancelled before anything was sent
     // The end of an attempt that the coordinator cancelled, or whose connection it closed; reported to the
     // gateway once the engine must have noticed.
     Outcome deferred_outcome{};
@@ -89,6 +99,8 @@
   void log_lateness();
   void handle_timeouts();
   void handle_event(Event& event);
+  bool runs_at_most_once(int cls) const;
+  void record_run(const OpenRequest& request, Outcome outcome);
   void perform_actions();
   void close_attempt(OpenRequest& request, Outcome outcome, EndCause cause, LoadReport report = {});
   void cancel_attempt(OpenRequest& request, Outcome outcome, EndCause cause);
@@ -112,6 +124,7 @@
   Strand strand_;
   EventLog& log_;
   Clock clock_;
+  RunHistory run_history_;
   Settings settings_;
   Gateway gateway_;
   std::vector<Front*> fronts_;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -121,7 +121,8 @@
   virtual ~Engines() = default;
   virtual void apply_change(const EngineChange& change) = 0;
   virtual void send(const Dispatch& dispatch) = 0;
-  virtual void cancel(RequestId id, int attempt) = 0;
+  // Returns true if nothing of the attempt has been sent, so that it never runs.
+  virtual bool cancel(RequestId id, int attempt) = 0;
   virtual void probe(int engine) = 0;
   virtual void flush() = 0;
 };
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -208,7 +208,8 @@
   if (charge) query.statement = share_statement(action.body.statement, std::move(*charge));
   query.table_group = table_group(action.body.statement);
   query.reply_to = {action.request, 0, front_index_};
-  if (!charge || coordinator_.validation_error(query) != nullptr || coordinator_.has_request(query.id)) {
+  if (!charge || coordinator_.validation_error(query) != nullptr || coordinator_.has_request(query.id) ||
+      !coordinator_.has_room_for(query.cls)) {
     Outcome outcome;  // refused here: neither the gateway nor an engine sees it
     outcome.status = Outcome::Status::kRefused;
     return report_outcome(action.request, outcome);
--- a/src/net/engine_pool.cpp
+++ b/src/net/engine_pool.cpp
@@ -125,19 +125,23 @@
     schedule_write();
   }
 
-  void give_up(RequestId id, int attempt) {
+  // Returns true if nothing of the attempt has been sent.
+  bool give_up(RequestId id, int attempt) {
     const auto at = in_flight_.find(id);
-    if (at == in_flight_.end() || at->second.attempt != attempt) return;
+    if (at == in_flight_.end() || at->second.attempt != attempt) return false;
     const PendingAttempt pending = std::move(at->second);
     in_flight_.erase(at);
     last_used_at_ = pool_.coordinator_.now();
-    if (withdraw(id, pending)) return;
+    if (withdraw(id, pending)) return true;
     if (pending.sink != nullptr) pending.sink->lost(id, attempt);
     // An engine or connection that silently lost one answer would lose the next one as well.
-    if (idle() && last_used_at_ - std::max(last_received_at_, pending.sent_at) > kMaxSilence)
-      return close({});
+    if (idle() && last_used_at_ - std::max(last_received_at_, pending.sent_at) > kMaxSilence) {
+      close({});
+      return false;
+    }
     push_command(pending.page_count == 0 ? "cancel" : "release", pending);
     retire(id, pending);
+    return false;
   }
 
   void probe(std::uint64_t number) {
@@ -649,12 +653,12 @@
   coordinator_.attempt_ended({id, attempt, outcome, cause, {}, {}});
 }
 
-void EnginePool::cancel(RequestId id, int attempt) {
+bool EnginePool::cancel(RequestId id, int attempt) {
   const auto at = connection_by_request_.find(id);
-  if (at == connection_by_request_.end()) return;
+  if (at == connection_by_request_.end()) return false;
   const auto connection = std::move(at->second);
   connection_by_request_.erase(at);
-  connection->give_up(id, attempt);
+  return connection->give_up(id, attempt);
 }
 
 void EnginePool::probe(int engine) {
--- a/src/net/engine_pool.h
+++ b/src/net/engine_pool.h
@@ -34,7 +34,7 @@
 
   void apply_change(const EngineChange& change) override;
   void send(const Dispatch& dispatch) override;
-  void cancel(RequestId id, int attempt) override;
+  bool cancel(RequestId id, int attempt) override;
   void probe(int engine) override;
   void flush() override;
 
--- a/src/net/framed.cpp
+++ b/src/net/framed.cpp
@@ -13,8 +13,8 @@
 namespace {
 constexpr std::int64_t kMaxFrameBytes = 256 << 10;
 constexpr std::size_t kMinSmallFrameBytes = 4 << 10, kMaxSmallFrameBytes = 32 << 10;
-// A message's method and call number stand within this many bytes.
-constexpr std::size_t kMaxMessageHeadBytes = 256;
+// A request's call number and id are looked for in so many bytes of its frame before the frame is held.
+constexpr std::size_t kMaxRequestHeadBytes = 2048;
 // Answers that a client does not read: more than 32 of the longest.
 constexpr std::size_t kMaxUnreadPerSession = 2 << 20;
 constexpr std::chrono::milliseconds kAcceptPause{50};
@@ -228,9 +228,11 @@
   const std::string_view beginning = in_.view().substr(thrift::kFrameHeaderBytes);
   thrift::Reader reader(beginning);
   thrift::Message message;
-  if (!thrift::read_message_head(reader, message))
-    return beginning.size() < kMaxMessageHeadBytes ? Admission::kUndecided : Admission::kMalformed;
-  if (!refuse_frame(beginning)) return Admission::kMalformed;
+  const bool told = thrift::read_message_head(reader, message);
+  const FrameRefusal refusal = told ? refuse_frame(beginning) : FrameRefusal::kUndecided;
+  if (refusal == FrameRefusal::kMalformed) return Admission::kMalformed;
+  if (refusal == FrameRefusal::kUndecided)
+    return beginning.size() < kMaxRequestHeadBytes ? Admission::kUndecided : Admission::kAdmitted;
   ++server_.refused_for_memory_;
   bytes_to_skip_ = frame_bytes;
   skip_input();
--- a/src/net/framed.h
+++ b/src/net/framed.h
@@ -70,9 +70,10 @@
    protected:
     // Handles one message. Returns false if it is malformed, which closes the connection.
     virtual bool handle_frame(std::string_view frame) = 0;
-    // Called with the beginning of a frame whose call and method are known, but for which there is no memory:
-    // answers that call, as the rest of its frame will be skipped. Returns false if it is malformed.
-    virtual bool refuse_frame(std::string_view beginning) = 0;
+    // Called with the beginning of a frame for which there is no memory: answers its call, as the rest of the
+    // frame will be skipped. kUndecided if the beginning does not tell yet how to answer.
+    enum class FrameRefusal { kAnswered, kUndecided, kMalformed };
+    virtual FrameRefusal refuse_frame(std::string_view beginning) = 0;
     // Charges the client's share of the memory; nothing, and a log line in a while, if it does not hold so
     // much.
     std::optional<MemoryCharge> charge_memory(std::size_t bytes);
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -48,17 +48,21 @@
     return true;
   }
 
-  bool refuse_frame(std::string_view beginning) override {
+  FrameRefusal refuse_frame(std::string_view beginning) override {
     thrift::Reader reader(beginning);
     thrift::Message message;
-    if (!thrift::read_message_head(reader, message) || !is_request(message)) return false;
-    if (message.method == "interrupt" || message.method == "check") return false;
+    if (!thrift::read_message_head(reader, message) || !is_request(message)) return FrameRefusal::kMalformed;
+    if (message.method == "interrupt" || message.method == "check") return FrameRefusal::kMalformed;
     if (message.method != "execute") {
       reject_unknown_method(message);
-    } else {
-      refuse(message.call);
+      return FrameRefusal::kAnswered;
     }
-    return true;
+    thrift::Fields fields;
+    std::string_view body;
+    thrift::read_call_args(reader, fields, body);  // as far as it has been received
+    if (!request_id(fields)) return FrameRefusal::kUndecided;
+    refuse_for_memory(message.call, fields);
+    return FrameRefusal::kAnswered;
   }
 
  private:
@@ -75,23 +79,34 @@
 
   void execute(std::int32_t call, const thrift::Fields& fields, std::string_view body) {
     auto charge = charge_request(body.size());
-    if (!charge) return refuse(call);
+    if (!charge) return refuse_for_memory(call, fields);
     Query query;
     query.statement = share_statement(body, std::move(*charge));
     const char* fault = open_calls_.contains(call)
                             ? "call number in use"
                             : read_query(fields, front_.tables_, front_.coordinator_, query);
-    if (fault != nullptr) {
-      push(thrift::declared_exception(call, "execute", 2, {{"reason", fault}}));
-      return schedule_write();
-    }
-    if (front_.refusing_ || open_calls_.size() >= front_.limits_.max_open_calls) return refuse(call);
+    if (fault != nullptr) return fail(call, fault);
+    if (front_.refusing_ || open_calls_.size() >= front_.limits_.max_open_calls ||
+        !front_.coordinator_.has_room_for(query.cls))
+      return refuse(call);
     query.reply_to = {number(), call, front_.front_number_};
     query.table_group = table_group(body);
     open_calls_[call] = query.id;
     front_.coordinator_.arrived(std::move(query));
   }
 
+  // A request that may have run is not refused: its client would send it again.
+  void refuse_for_memory(std::int32_t call, const thrift::Fields& fields) {
+    const auto id = request_id(fields);
+    if (id && front_.coordinator_.may_have_run(*id)) return fail(call, "txn may have run");
+    refuse(call);
+  }
+
+  void fail(std::int32_t call, const char* reason) {
+    push(thrift::declared_exception(call, "execute", 2, {{"reason", reason}}));
+    schedule_write();
+  }
+
   void refuse(std::int32_t call) {
     push(thrift::declared_exception(call, "execute", 1, {}));
     schedule_write();
--- a/src/net/query_fields.cpp
+++ b/src/net/query_fields.cpp
@@ -39,6 +39,7 @@
   if (!estimate_ms) return "cpu";
   if (!memory_mb) return "mem";
   if (coordinator.has_request(*id)) return "txn in use";
+  if (coordinator.may_have_run(*id)) return "txn may have run";
   query.id = *id;
   query.estimate_ms = *estimate_ms;
   query.memory_mb = *memory_mb;
@@ -47,6 +48,10 @@
   return coordinator.validation_error(query);
 }
 
+std::optional<RequestId> request_id(const thrift::Fields& fields) {
+  return parse_request_id(field(fields, "txn"));
+}
+
 std::string_view field(const thrift::Fields& fields, std::string_view name) {
   for (const auto& [key, value] : fields) {
     if (key == name) return value;
--- a/src/net/query_fields.h
+++ b/src/net/query_fields.h
@@ -13,6 +13,9 @@
                        Query& query);
 
 // The value of the field, or empty if it is absent.
+// The id of a request; nothing if it is missing or malformed.
+std::optional<RequestId> request_id(const thrift::Fields& fields);
+
 std::string_view field(const thrift::Fields& fields, std::string_view name);
 
 }  // namespace steprail
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -15,6 +15,7 @@
 // nobody.
 constexpr std::chrono::milliseconds kMinKillDelay{3000}, kFinalAnswerMargin{200};
 constexpr std::chrono::milliseconds kDrainPollInterval{10};
+constexpr std::size_t kRunHistoryPerMb = 512;  // ids of some 80 bytes each: 4 % of the memory
 constexpr std::chrono::seconds kSettleMargin{5};
 // Clients connect once all coordinators are ready, or after 30 s.
 constexpr std::chrono::seconds kListenTimeout{30};
@@ -36,7 +37,7 @@
       grace_timer_(strand_),
       final_answer_timer_(strand_),
       end_timer_(strand_),
-      coordinator_(strand_, log_, config_.seed, config_.settings),
+      coordinator_(strand_, log_, config_.seed, config_.settings, config_.memory_mb * kRunHistoryPerMb),
       engines_(strand_, coordinator_, log_, engine_limits()),
       front_(strand_, coordinator_, log_, config_.tables, front_limits(), request_memory_),
       directory_(strand_, coordinator_, log_, config_.tables, config_.directory, request_settle_time(),
--- a/src/spool/reader_front.cpp
+++ b/src/spool/reader_front.cpp
@@ -160,18 +160,23 @@
     return true;
   }
 
-  bool refuse_frame(std::string_view beginning) override {
+  FrameRefusal refuse_frame(std::string_view beginning) override {
     thrift::Reader reader(beginning);
     thrift::Message message;
-    if (!thrift::read_message_head(reader, message) || message.method != "submit") return false;
-    refuse_new(message.call);
-    return true;
+    if (!thrift::read_message_head(reader, message) || message.method != "submit")
+      return FrameRefusal::kMalformed;
+    thrift::Fields fields;
+    std::string_view body;
+    thrift::read_call_args(reader, fields, body);  // as far as it has been received
+    if (!request_id(fields)) return FrameRefusal::kUndecided;
+    refuse_for_memory(message.call, fields);
+    return FrameRefusal::kAnswered;
   }
 
  private:
   void submit(std::int32_t call, const thrift::Fields& fields, std::string_view body) {
     auto charge = charge_request(body.size());
-    if (!charge) return refuse_new(call);
+    if (!charge) return refuse_for_memory(call, fields);
     Query query;
     query.statement = share_statement(body, std::move(*charge));
     const char* fault = calls_.contains(call)
@@ -179,12 +184,10 @@
                             : read_query(fields, front_.tables_, front_.coordinator_, query);
     if (fault == nullptr && (front_.spool_.contains(query.id) || front_.pending_.contains(query.id)))
       fault = "txn in use";
-    if (fault != nullptr) {
-      push(thrift::declared_exception(call, "submit", kNotRetryable,
-                                      {{"code", "unusable"}, {"reason", fault}, {"again", "0"}}));
-      return schedule_write();
-    }
-    if (front_.refusing_ || calls_.size() >= front_.limits_.max_open_calls) return refuse_new(call);
+    if (fault != nullptr) return reject(call, fault);
+    if (front_.refusing_ || calls_.size() >= front_.limits_.max_open_calls ||
+        !front_.coordinator_.has_room_for(query.cls))
+      return refuse_new(call);
     // The answer is routed by the request's id, as the request may outlive this connection.
     query.reply_to = {query.id, 0, front_.front_number_};
     query.table_group = table_group(body);
@@ -205,6 +208,21 @@
     front_.coordinator_.arrived(std::move(query));
   }
 
+  // A request that may have run is not refused: its client would send it again.
+  void refuse_for_memory(std::int32_t call, const thrift::Fields& fields) {
+    const auto id = request_id(fields);
+    const bool known = id && (front_.coordinator_.may_have_run(*id) || front_.spool_.contains(*id) ||
+                              front_.pending_.contains(*id));
+    if (known) return reject(call, "txn may have run");
+    refuse_new(call);
+  }
+
+  void reject(std::int32_t call, const char* reason) {
+    push(thrift::declared_exception(call, "submit", kNotRetryable,
+                                    {{"code", "unusable"}, {"reason", reason}, {"again", "0"}}));
+    schedule_write();
+  }
+
   void refuse_new(std::int32_t call) {
     refuse(call, "submit", {"refused", "nothing new is taken here now", true}, true);
   }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -850,3 +850,49 @@
     RC_ASSERT(server.broken_invariants() == 0u);
   });
 }
+
+namespace {
+
+// How often engines have been told to run that request.
+std::size_t run_count(Fixture& fixture, const std::string& id) {
+  std::size_t count = 0;
+  for (const auto& engine : fixture.engines) {
+    engine->poll();
+    for (const auto& peer : engine->peers)
+      for (std::size_t at = 0; (at = peer->read().find("serve " + id, at)) != std::string::npos; ++at)
+        ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+// Guards against a load that runs twice because its client leaves and comes back with it while it runs.
+TEST_CASE("a load whose client has left does not run again when its id comes on another connection") {
+  Fixture fixture(2);
+  auto client = fixture.client();
+  client->write(query(1, kId, "load"));
+  fixture.run_until([&] { return run_count(fixture, kId) == 1; });
+  client->close();
+  fixture.run_until([&] {
+    return std::any_of(fixture.engines.begin(), fixture.engines.end(),
+                       [](const auto& engine) { return engine->has(0, "cancel " + kId); });
+  });
+  const auto again = fixture.client();
+  again->write(query(1, kId, "load"));
+  CHECK(fixture.answer(*again).field == 2);
+  CHECK(run_count(fixture, kId) == 1);
+}
+
+// Guards against a load that is lost because its id counts as run although nothing was ever sent.
+TEST_CASE("a load that was taken back before it was sent runs when its id comes again") {
+  Fixture fixture(1);
+  const auto client = fixture.client();
+  client->write(query(1, kId, "load") + interrupt(1) + query(2, kId, "load"));
+  fixture.answer(*client);  // the id is still in use: both are in one read
+  client->write(query(3, kId, "load"));
+  fixture.run_until([&] { return run_count(fixture, kId) == 1; });
+  for (const auto& peer : fixture.engines[0]->peers)
+    if (peer->has("serve " + kId)) peer->write(ack(kId, "x\t\t\n"));
+  CHECK(fixture.answer(*client).field == 0);
+}
