--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -258,6 +258,7 @@
   engines_->flush();
   schedule_deferred_ends();
   for (Front* front : fronts_) front->flush();
+  drop_stale_timeouts();
   arm_timer();
   if (unanswered_ == 0 && when_all_answered_) std::exchange(when_all_answered_, nullptr)();
 }
@@ -271,6 +272,18 @@
                std::to_string(pending_events_.size()) + " events at once");
 }
 
+// Requests that end at once leave timeouts that are due only when their clients' time is over: a client that
+// sends them at full speed would otherwise fill the memory.
+void Coordinator::drop_stale_timeouts() {
+  if (timeouts_.size() <= max_timeouts_) return;
+  timeouts_.erase_if([this](const Timeout& timeout) {
+    if (timeout.kind == TimeoutKind::kAlarm) return false;
+    const auto at = open_requests_.find(timeout.id);
+    return at == open_requests_.end() || at->second.generation != timeout.generation;
+  });
+  max_timeouts_ = std::max(kMinTimeoutsToDrop, 2 * timeouts_.size());
+}
+
 void Coordinator::handle_timeouts() {
   while (!timeouts_.empty() && timeouts_.top().at <= now_) {
     const Timeout due = timeouts_.top();
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -2,6 +2,7 @@
 // batch of events for it. Everything here runs on one strand.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <functional>
@@ -58,6 +59,7 @@
   // there is none.
   void when_all_answered(std::function<void()> callback);
   std::size_t unanswered() const { return unanswered_; }
+  std::size_t pending_timeouts() const { return timeouts_.size(); }
   // The gateway's, for tests and dashboards.
   int attempts_in_flight() const { return gateway_.attempts_in_flight(); }
   double backlog(int engine) const { return gateway_.backlog(engine); }
@@ -108,6 +110,7 @@
   void schedule_deferred_ends();
   void answer_request(OpenRequest& request, Answer answer, std::string_view reason);
   void erase_if_ended(RequestId id);
+  void drop_stale_timeouts();
   void arm_timer();
 
   void execute(const Send& send);
@@ -138,7 +141,17 @@
   std::uint64_t last_generation_{0};
   int attempts_in_flight_{0};  // sent, and their end not yet reported to the gateway
   std::unordered_map<RequestId, OpenRequest> open_requests_;
-  std::priority_queue<Timeout, std::vector<Timeout>, std::greater<>> timeouts_;
+  // Earliest first. Timeouts of requests that have ended stay in it until they are due or dropped.
+  struct TimeoutQueue : std::priority_queue<Timeout, std::vector<Timeout>, std::greater<>> {
+    template <typename Predicate>
+    void erase_if(Predicate predicate) {
+      std::erase_if(c, predicate);
+      std::make_heap(c.begin(), c.end(), comp);
+    }
+  };
+  static constexpr std::size_t kMinTimeoutsToDrop = 4096;
+  TimeoutQueue timeouts_;
+  std::size_t max_timeouts_{kMinTimeoutsToDrop};  // beyond it, those of ended requests are dropped
   std::vector<Event> pending_events_, batch_;
   std::vector<RequestId> deferred_ends_;  // of this iteration; reported to the gateway later
   std::vector<Action> actions_;
--- a/src/net/framed.cpp
+++ b/src/net/framed.cpp
@@ -164,8 +164,6 @@
     const std::size_t count = socket_.write_some(out_.gather(), error);
     out_.mark_sent(count);
     if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
-      const std::size_t max_unread = std::max(kMaxUnreadPerSession, 2 * server_.limits_.pause_threshold);
-      if (out_.size() > max_unread) return close(kAnswersUnread);
       write_blocked_since_ = server_.coordinator_.now();
       write_blocked_ = true;
       socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code) {
@@ -174,15 +172,22 @@
         // nothing left to write then.
         self->write();
       });
-      server_.limit_unread_answers();
     } else if (error) {
       return close(nullptr);
     }
   }
+  if (write_blocked_) limit_unread();
   if (!closed_ && out_.empty()) on_written_out();
   resume_reading();
 }
 
+// Calls that are read while the socket takes nothing add answers as well.
+void FramedServer::Session::limit_unread() {
+  const std::size_t max_unread = std::max(kMaxUnreadPerSession, 2 * server_.limits_.pause_threshold);
+  if (out_.size() > max_unread) return close(kAnswersUnread);
+  server_.limit_unread_answers();
+}
+
 void FramedServer::Session::close(const char* reason) {
   if (std::exchange(closed_, true)) return;
   if (reason != nullptr) server_.log_client_closed(reason, open_call_count());
--- a/src/net/framed.h
+++ b/src/net/framed.h
@@ -100,6 +100,8 @@
     friend class FramedServer;
     void read(boost::system::error_code error = {}, std::size_t count = 0);
     void write();
+    // Closes the connection, or others, if too much waits to be read by their clients.
+    void limit_unread();
     bool handle_frames();
     bool note_partial_frame(bool partial);
     // Refuses the frame that has begun if its client's share of the memory does not hold it.
--- a/tests/core/turn_test.cpp
+++ b/tests/core/turn_test.cpp
@@ -34,8 +34,9 @@
   explicit FakeEngines(Coordinator& coordinator) : coordinator_(coordinator) {}
   void apply_change(const EngineChange&) override {}
   void send(const Dispatch& dispatch) override { in_flight_[dispatch.query.id] = dispatch.attempt; }
-  void cancel(RequestId id, int attempt) override {
+  bool cancel(RequestId id, int attempt) override {
     if (has(id) && in_flight_.at(id) == attempt) in_flight_.erase(id);
+    return false;
   }
   void probe(int engine) override { coordinator_.probed({engine, true, Micros{1000}, {}}); }
   void flush() override {}
@@ -113,6 +114,16 @@
         return true;
     }
   }
+  std::size_t pending_timeouts() const { return coordinator_.pending_timeouts(); }
+  // Requests with ever new ids that arrive and are taken back.
+  void take_back_requests(RequestId first, std::size_t count) {
+    for (RequestId id = first; id < first + count; ++id) {
+      coordinator_.arrived(make_query(id));
+      coordinator_.client_gone(id);
+      if (id % kRequestsPerTurn == 0) turn();
+    }
+    turn();
+  }
   // Delivers what is in flight until nothing happens any more, then checks that nothing was left behind.
   void finish() {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
@@ -135,6 +146,7 @@
 
  private:
   static constexpr int kMaxTurns = 300;
+  static constexpr RequestId kRequestsPerTurn = 100;
 
   static Query make_query(RequestId id) {
     Query query;
@@ -216,3 +228,11 @@
   }
   CHECK(count > 1000);
 }
+
+// Guards against memory that grows with each request that a client takes back, until its time is over.
+TEST_CASE("requests that are taken back leave no timeouts behind") {
+  constexpr std::size_t kRequests = 50'000, kMaxTimeouts = 10'000;
+  World world;
+  world.take_back_requests(100, kRequests);
+  CHECK(world.pending_timeouts() < kMaxTimeouts);
+}
--- a/tests/frame_space_test.cpp
+++ b/tests/frame_space_test.cpp
@@ -232,6 +232,23 @@
   fixture.run_until([&] { return greedy->read(), greedy->ended(); });
 }
 
+// Guards against answers to small calls that pile up without end for a client that does not read them.
+TEST_CASE("a client that reads no answers is closed, however small its calls are") {
+  constexpr int kCallsAtOnce = 1000;
+  constexpr std::size_t kMaxSentBytes = 32 << 20;
+  Fixture fixture(kEngines, limit_memory);
+  const auto client = fixture.client();
+  std::string calls;
+  for (int i = 0; i < kCallsAtOnce; ++i) calls += kCheckCall;
+  std::size_t sent = 0;
+  fixture.run_until([&] { return fixture.server->client_count() == 1; });
+  while (fixture.server->client_count() == 1) {
+    REQUIRE(sent < kMaxSentBytes);
+    sent += client->write_some(calls.substr(sent % calls.size()));
+    fixture.server->io().run_for(std::chrono::milliseconds(1));
+  }
+}
+
 // Guards against a close that leaves calls without an answer, whatever state the connections are in.
 TEST_CASE("only connections that are owed nothing are closed for others, strangers and the stalled first") {
   const LongFrame stranger{.held = kLongFrameGrace * 2};
