--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -32,7 +32,9 @@
     if (message.method == "execute") {
       thrift::Fields fields;
       std::string_view body;
-      if (!thrift::read_call_args(reader, fields, body)) return false;
+      const thrift::CallArgs args = thrift::read_call_args(reader, fields, body);
+      if (args == thrift::CallArgs::kMalformed) return false;
+      if (args == thrift::CallArgs::kTooManyFields) return fail(message.call, "too many fields"), true;
       execute(message.call, fields, body);
     } else if (message.method == "interrupt") {
       std::int32_t interrupted_call = 0;
@@ -59,7 +61,10 @@
     }
     thrift::Fields fields;
     std::string_view body;
-    thrift::read_call_args(reader, fields, body);  // as far as it has been received
+    const thrift::CallArgs args =
+        thrift::read_call_args(reader, fields, body);  // as far as it has been received
+    if (args == thrift::CallArgs::kTooManyFields)
+      return fail(message.call, "too many fields"), FrameRefusal::kAnswered;
     if (!request_id(fields)) return FrameRefusal::kUndecided;
     refuse_for_memory(message.call, fields);
     return FrameRefusal::kAnswered;
--- a/src/net/thrift.cpp
+++ b/src/net/thrift.cpp
@@ -143,9 +143,12 @@
 
 namespace {
 
-void read_map(Reader& reader, Fields& fields) {
+// Returns false, and reads no further, if the map has more than kMaxFields entries.
+bool read_map(Reader& reader, Fields& fields) {
   const Type key{reader.u8()}, value{reader.u8()};
-  for (std::int32_t remaining = reader.i32(); remaining > 0 && reader.good(); --remaining) {
+  const std::int32_t count = reader.i32();
+  if (count > kMaxFields) return false;
+  for (std::int32_t remaining = count; remaining > 0 && reader.good(); --remaining) {
     if (key == Type::kString && value == Type::kString) {
       const std::string_view name = reader.bytes();
       fields.emplace_back(name, reader.bytes());
@@ -154,6 +157,7 @@
       reader.skip(value);
     }
   }
+  return true;
 }
 
 // Calls `read_field(id, type)` for every field of a struct and skips the field if that returns false.
@@ -170,12 +174,16 @@
 
 }  // namespace
 
-bool read_call_args(Reader& reader, Fields& fields, std::string_view& body) {
-  return read_struct(reader, [&](std::int16_t id, Type type) {
-    if (id == 1 && type == Type::kMap) return read_map(reader, fields), true;
+CallArgs read_call_args(Reader& reader, Fields& fields, std::string_view& body) {
+  bool too_many = false;
+  const bool good = read_struct(reader, [&](std::int16_t id, Type type) {
+    if (too_many) return false;
+    if (id == 1 && type == Type::kMap) return too_many = !read_map(reader, fields), true;
     if (id == 2 && type == Type::kString) return body = reader.bytes(), true;
     return false;
   });
+  if (too_many) return CallArgs::kTooManyFields;
+  return good ? CallArgs::kRead : CallArgs::kMalformed;
 }
 
 bool read_interrupt_args(Reader& reader, std::int32_t& call) {
--- a/src/net/thrift.h
+++ b/src/net/thrift.h
@@ -59,7 +59,11 @@
 
 using Fields = std::vector<std::pair<std::string_view, std::string_view>>;
 using OwnedFields = std::vector<std::pair<std::string, std::string>>;
-bool read_call_args(Reader& reader, Fields& fields, std::string_view& body);
+// A call has far fewer fields than this. To read very many would hold up all other clients.
+constexpr std::int32_t kMaxFields = 256;
+// kTooManyFields: the call can be answered, but its arguments have not been read.
+enum class CallArgs { kRead, kTooManyFields, kMalformed };
+CallArgs read_call_args(Reader& reader, Fields& fields, std::string_view& body);
 bool read_interrupt_args(Reader& reader, std::int32_t& call);
 
 // The frame of a successful reply is this head, the body's bytes, and the tail. The length in the head
--- a/src/spool/reader_front.cpp
+++ b/src/spool/reader_front.cpp
@@ -146,7 +146,10 @@
                method == "release") {
       thrift::Fields fields;
       std::string_view body;
-      if (!thrift::read_call_args(reader, fields, body)) return false;
+      const thrift::CallArgs args = thrift::read_call_args(reader, fields, body);
+      if (args == thrift::CallArgs::kMalformed) return false;
+      if (args == thrift::CallArgs::kTooManyFields)
+        return reject(message.call, method, "too many fields"), true;
       if (method == "submit") {
         submit(message.call, fields, body);
       } else {
@@ -167,7 +170,10 @@
       return FrameRefusal::kMalformed;
     thrift::Fields fields;
     std::string_view body;
-    thrift::read_call_args(reader, fields, body);  // as far as it has been received
+    const thrift::CallArgs args =
+        thrift::read_call_args(reader, fields, body);  // as far as it has been received
+    if (args == thrift::CallArgs::kTooManyFields)
+      return reject(message.call, "submit", "too many fields"), FrameRefusal::kAnswered;
     if (!request_id(fields)) return FrameRefusal::kUndecided;
     refuse_for_memory(message.call, fields);
     return FrameRefusal::kAnswered;
@@ -184,7 +190,7 @@
                             : read_query(fields, front_.tables_, front_.coordinator_, query);
     if (fault == nullptr && (front_.spool_.contains(query.id) || front_.pending_.contains(query.id)))
       fault = "txn in use";
-    if (fault != nullptr) return reject(call, fault);
+    if (fault != nullptr) return reject(call, "submit", fault);
     if (front_.refusing_ || calls_.size() >= front_.limits_.max_open_calls ||
         !front_.coordinator_.has_room_for(query.cls))
       return refuse_new(call);
@@ -213,12 +219,12 @@
     const auto id = request_id(fields);
     const bool known = id && (front_.coordinator_.may_have_run(*id) || front_.spool_.contains(*id) ||
                               front_.pending_.contains(*id));
-    if (known) return reject(call, "txn may have run");
+    if (known) return reject(call, "submit", "txn may have run");
     refuse_new(call);
   }
 
-  void reject(std::int32_t call, const char* reason) {
-    push(thrift::declared_exception(call, "submit", kNotRetryable,
+  void reject(std::int32_t call, std::string_view method, const char* reason) {
+    push(thrift::declared_exception(call, method, kNotRetryable,
                                     {{"code", "unusable"}, {"reason", reason}, {"again", "0"}}));
     schedule_write();
   }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -896,3 +896,17 @@
     if (peer->has("serve " + kId)) peer->write(ack(kId, "x\t\t\n"));
   CHECK(fixture.answer(*client).field == 0);
 }
+
+// Guards against calls of very many fields that take the time of all other clients.
+TEST_CASE("a call with very many fields is answered without reading them, and its connection stays") {
+  constexpr int kManyFields = 20'000;
+  Fixture fixture(1);
+  const auto client = fixture.client();
+  client->write(execute(1, std::vector<std::pair<std::string, std::string>>(kManyFields, {"a", "b"})));
+  const Reply reply = fixture.answer(*client);
+  CHECK(reply.call == 1);
+  CHECK(reply.field == 2);
+  CHECK(reply.rest.find("too many fields") != std::string::npos);
+  client->write(kCheckCall);
+  CHECK(fixture.answer(*client).call == 50);
+}
